Carry a request from caller to server and back

Cause: there was nothing yet. Change: a thin path as separate processes: nodes that read settings from a platform stand-in, pick a server by two choices, send one attempt with its own id, check the whole answer and pass the verdict on.

--- /dev/null
+++ b/src/coordination/fleet_update.cpp
@@ -0,0 +1,90 @@
+#include "coordination/fleet_update.hpp"
+
+#include "coordination/node.hpp"
+#include "coordination/server_tracking.hpp"
+
+#include <algorithm>
+
+namespace acaciaslip::coordination {
+
+namespace {
+
+void applyServices(state::fleet& fleet, const std::vector<state::service_settings>& services)
+{
+    for (auto& service : fleet.services)
+        service.active = false;
+    for (const auto& settings : services) {
+        const auto [position, added]
+            = fleet.serviceIndexes.try_emplace(settings.name, static_cast<state::service_index>(fleet.services.size()));
+        if (added)
+            fleet.services.emplace_back();
+        auto& service = fleet.services[position->second];
+        service.settings = settings;
+        service.active = true;
+    }
+}
+
+state::server_record& findOrAddServer(state::fleet& fleet, const state::host_id& id)
+{
+    const auto [position, added]
+        = fleet.serverIndexes.try_emplace(id, static_cast<state::server_index>(fleet.servers.size()));
+    if (added)
+        fleet.servers.emplace_back().id = id;
+    return fleet.servers[position->second];
+}
+
+void applyServer(state::fleet& fleet, const state::host_record& host, bool out, state::time_point now)
+{
+    const auto service = fleet.serviceIndexes.find(host.service);
+    if (service == fleet.serviceIndexes.end())
+        return;
+    auto& server = findOrAddServer(fleet, host.id);
+    const bool wasAway = server.listing == state::host_listing::absent || server.dataCentreOut;
+    const bool replaced = server.address != host.address;
+    server.address = host.address;
+    server.dataCentre = host.dataCentre;
+    server.service = service->second;
+    server.listing = host.listing;
+    server.dataCentreOut = out;
+    if ((wasAway && !out) || replaced)
+        makeCold(server, wasAway ? "new_or_returned" : "replaced", now);
+}
+
+void listMembers(state::fleet& fleet)
+{
+    for (auto& service : fleet.services)
+        service.members.clear();
+    for (state::server_index index = 0; index < fleet.servers.size(); ++index) {
+        const auto& server = fleet.servers[index];
+        if (server.listing != state::host_listing::absent)
+            fleet.services[server.service].members.push_back(index);
+    }
+}
+
+} // namespace
+
+void applySettings(node& self, const state::fleet_settings& settings, state::time_point now)
+{
+    auto& fleet = self.fleet;
+    applyServices(fleet, settings.services);
+    absl::flat_hash_map<state::host_id, bool> listed;
+    fleet.entryHosts.clear();
+    for (const auto& host : settings.hosts) {
+        if (host.kind == state::host_kind::entry) {
+            fleet.entryHosts.push_back(host.id);
+            continue;
+        }
+        const auto& outList = settings.dataCentresOut;
+        const bool out = std::find(outList.begin(), outList.end(), host.dataCentre) != outList.end();
+        applyServer(fleet, host, out, now);
+        listed[host.id] = true;
+    }
+    std::sort(fleet.entryHosts.begin(), fleet.entryHosts.end());
+    for (auto& server : fleet.servers) {
+        if (!listed.contains(server.id))
+            server.listing = state::host_listing::absent;
+    }
+    listMembers(fleet);
+}
+
+} // namespace acaciaslip::coordination
--- /dev/null
+++ b/src/coordination/node.hpp
@@ -0,0 +1,98 @@
+#pragma once
+
+#include "coordination/effects.hpp"
+#include "coordination/events.hpp"
+#include "coordination/forward_declarations.hpp"
+#include "state/fleet.hpp"
+#include "state/node_settings.hpp"
+#include "state/peer_table.hpp"
+#include "state/request_ledger.hpp"
+#include "state/value_table.hpp"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+#include <absl/status/statusor.h>
+
+namespace acaciaslip::coordination {
+
+/// Reads and checks all published values together.
+///
+/// Given bodies by key, gives what would be in force. Pure: the same bodies give the same result.
+using settings_reader
+    = std::function<absl::StatusOr<state::fleet_settings>(const std::map<state::value_key, std::string>&)>;
+
+/// The stages of a node's life.
+enum class node_phase {
+    starting, ///< no settings yet
+    serving,
+    lame_duck, ///< says that it is leaving; still takes work
+    draining, ///< takes no new work; finishes what is in progress
+    stopped,
+};
+
+inline constexpr std::array<state::enum_name<node_phase>, 5> nodePhaseNames { {
+    { node_phase::starting, "starting" },
+    { node_phase::serving, "serving" },
+    { node_phase::lame_duck, "lame_duck" },
+    { node_phase::draining, "draining" },
+    { node_phase::stopped, "stopped" },
+} };
+
+/// What a node has counted since it started. Read by the metrics and the dump.
+struct node_counters {
+    std::map<state::verdict, std::uint64_t> requestsByVerdict;
+    std::map<state::refusal_reason, std::uint64_t> refusals;
+    std::map<state::attempt_outcome, std::uint64_t> attemptsByOutcome;
+    std::uint64_t retries = 0;
+    std::uint64_t hedges = 0;
+    std::uint64_t probes = 0;
+    std::uint64_t platformReads = 0;
+    std::uint64_t peerMessagesSent = 0;
+    std::uint64_t peerMessagesTaken = 0;
+    std::uint64_t peerMessagesDropped = 0;
+    std::uint64_t pauses = 0; ///< gaps in the clock that made the picture suspect
+};
+
+/// State of the reads of published values.
+struct spread_state {
+    std::map<state::value_key, state::time_point> nextReadAt;
+    std::map<state::value_key, bool> reading;
+    std::size_t platformChoice = 0; ///< which platform address is tried next
+};
+
+/// One whole node: plain data, changed only by `handle`.
+struct node {
+    state::node_settings settings;
+    std::uint64_t incarnation = 0;
+    settings_reader readSettings;
+
+    node_phase phase = node_phase::starting;
+    state::time_point phaseSince;
+    state::time_point lastEventAt;
+    std::optional<state::time_point> suspectSince; ///< the picture may be old: the process was paused
+
+    state::value_table values;
+    state::fleet fleet;
+    state::request_ledger requests;
+    state::peer_table peers;
+    std::uint64_t nextSequence = 1;
+    spread_state spread;
+    node_counters counters;
+};
+
+/// Makes a node that has seen nothing yet.
+/// \param settings what is this host's own
+/// \param incarnation rises with every start of this host
+/// \param reader checks published values
+[[nodiscard]] node makeNode(state::node_settings settings, std::uint64_t incarnation, settings_reader reader);
+
+/// The one door: takes an event, changes the node and says what is to be done.
+/// \param now the time at which the event is handled; never goes back
+/// \param random draws every random choice
+/// \param effects what is to be done is added at its end
+void handle(node& self, const event& happened, state::time_point now, random_generator& random, effect_list& effects);
+
+} // namespace acaciaslip::coordination
--- /dev/null
+++ b/src/coordination/stopping.cpp
@@ -0,0 +1,36 @@
+#include "coordination/stopping.hpp"
+
+#include "coordination/node.hpp"
+
+namespace acaciaslip::coordination {
+
+namespace {
+
+void enterPhase(node& self, node_phase phase, state::time_point now, effect_list& effects)
+{
+    self.phase = phase;
+    self.phaseSince = now;
+    effects.emplace_back(log_event { log_level::info, "phase",
+        { { "phase", std::string(state::findName(nodePhaseNames, phase)) },
+            { "in_progress", std::to_string(self.requests.requests.size()) } } });
+}
+
+} // namespace
+
+void beginStop(node& self, state::time_point now, effect_list& effects)
+{
+    if (self.phase < node_phase::lame_duck)
+        enterPhase(self, node_phase::lame_duck, now, effects);
+}
+
+void advanceStop(node& self, state::time_point now, effect_list& effects)
+{
+    if (self.phase == node_phase::lame_duck && now - self.phaseSince >= self.settings.lameDuck)
+        enterPhase(self, node_phase::draining, now, effects);
+    if (self.phase == node_phase::draining && self.requests.requests.empty()) {
+        enterPhase(self, node_phase::stopped, now, effects);
+        effects.emplace_back(node_stopped {});
+    }
+}
+
+} // namespace acaciaslip::coordination
--- /dev/null
+++ b/src/protocol/node_settings_reader.hpp
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "state/node_settings.hpp"
+
+#include <string>
+#include <string_view>
+
+#include <absl/status/statusor.h>
+
+namespace acaciaslip::protocol {
+
+/// Reads and checks a node.yaml.
+/// \param text the file's text
+/// \param name what errors call the file
+/// \return the settings, or every error at once with file, line and column
+[[nodiscard]] absl::StatusOr<state::node_settings> readNodeSettings(std::string_view text, const std::string& name);
+
+} // namespace acaciaslip::protocol
--- /dev/null
+++ b/standins/load.cpp
@@ -0,0 +1,144 @@
+#include "standins/commands.hpp"
+#include "standins/options.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <map>
+#include <mutex>
+#include <sstream>
+#include <thread>
+#include <vector>
+
+#include <httplib.h>
+
+namespace acaciaslip::standins {
+
+namespace {
+
+using load_clock = std::chrono::steady_clock;
+
+struct load_options {
+    std::vector<std::string> targets;
+    std::string path = "/";
+    std::string method = "GET";
+    int rate = 1000; ///< requests a second over all connections; 0: as fast as answers come
+    int connections = 8;
+    double seconds = 3;
+    bool keys = false; ///< give each request its own Idempotency-Key
+};
+
+struct load_result {
+    std::map<std::string, int> counts; ///< by "status verdict"
+    std::vector<double> milliseconds;
+};
+
+httplib::Request makeRequest(const load_options& options, const std::string& key)
+{
+    httplib::Request request;
+    request.method = options.method;
+    request.path = options.path;
+    if (options.method != "GET")
+        request.body = "{}";
+    if (options.keys)
+        request.set_header("Idempotency-Key", key);
+    return request;
+}
+
+std::string describe(const httplib::Result& result)
+{
+    if (!result)
+        return "no_answer";
+    const auto verdict = result->get_header_value("Acaciaslip-Verdict");
+    return fmt::format("{} {}", result->status, verdict.empty() ? "-" : verdict);
+}
+
+void runConnection(const load_options& options, int index, load_result& total, std::mutex& mutex)
+{
+    std::string ip;
+    const auto& target = options.targets[static_cast<std::size_t>(index) % options.targets.size()];
+    const int port = splitAddress(target, ip);
+    httplib::Client client(ip, port);
+    client.set_keep_alive(true);
+    client.set_tcp_nodelay(true);
+    load_result own;
+    const auto start = load_clock::now();
+    const auto end
+        = start + std::chrono::duration_cast<load_clock::duration>(std::chrono::duration<double>(options.seconds));
+    const std::chrono::duration<double> gap { options.rate > 0 ? static_cast<double>(options.connections) / options.rate
+                                                               : 0 };
+    for (int number = 0;; ++number) {
+        const auto offset = gap * (number + static_cast<double>(index) / options.connections);
+        const auto due
+            = options.rate > 0 ? start + std::chrono::duration_cast<load_clock::duration>(offset) : load_clock::now();
+        if (due >= end)
+            break;
+        std::this_thread::sleep_until(due);
+        const auto sent = load_clock::now();
+        const auto result = client.send(
+            makeRequest(options, fmt::format("{}-{}-{}", start.time_since_epoch().count(), index, number)));
+        own.milliseconds.push_back(std::chrono::duration<double, std::milli>(load_clock::now() - sent).count());
+        ++own.counts[describe(result)];
+    }
+    const std::lock_guard lock(mutex);
+    for (const auto& [what, count] : own.counts)
+        total.counts[what] += count;
+    total.milliseconds.insert(total.milliseconds.end(), own.milliseconds.begin(), own.milliseconds.end());
+}
+
+double quantile(const std::vector<double>& sorted, double share)
+{
+    if (sorted.empty())
+        return 0;
+    const auto index = static_cast<std::size_t>(share * static_cast<double>(sorted.size() - 1));
+    return sorted[index];
+}
+
+void print(load_result& result, const load_options& options)
+{
+    std::sort(result.milliseconds.begin(), result.milliseconds.end());
+    for (const auto& [what, count] : result.counts)
+        fmt::print("{:<24} {:>8}\n", what, count);
+    fmt::print("requests/s {:.0f}  p50 {:.3f} ms  p99 {:.3f} ms  p99.9 {:.3f} ms\n",
+        static_cast<double>(result.milliseconds.size()) / options.seconds, quantile(result.milliseconds, 0.5),
+        quantile(result.milliseconds, 0.99), quantile(result.milliseconds, 0.999));
+}
+
+} // namespace
+
+int runLoad(int argc, const char** argv)
+{
+    load_options options;
+    char* targets = nullptr;
+    char* path = nullptr;
+    char* method = nullptr;
+    int keys = 0;
+    const poptOption table[] = {
+        { "targets", 0, POPT_ARG_STRING, static_cast<void*>(&targets), 0, "comma-separated addresses", "IP:PORT,…" },
+        { "path", 0, POPT_ARG_STRING, static_cast<void*>(&path), 0, "path of every request", "PATH" },
+        { "method", 0, POPT_ARG_STRING, static_cast<void*>(&method), 0, "method of every request", "METHOD" },
+        { "rate", 0, POPT_ARG_INT, &options.rate, 0, "requests a second; 0: no pause between requests", "N" },
+        { "connections", 0, POPT_ARG_INT, &options.connections, 0, "kept-alive connections", "N" },
+        { "seconds", 0, POPT_ARG_DOUBLE, &options.seconds, 0, "how long", "S" },
+        { "keys", 0, POPT_ARG_NONE, &keys, 0, "give each request an Idempotency-Key", nullptr },
+        POPT_AUTOHELP POPT_TABLEEND,
+    };
+    if (!readOptions(argc, argv, table) || targets == nullptr)
+        return 2;
+    options.keys = keys != 0;
+    options.path = path != nullptr ? path : options.path;
+    options.method = method != nullptr ? method : options.method;
+    std::stringstream list { targets };
+    for (std::string target; std::getline(list, target, ',');)
+        options.targets.push_back(target);
+    load_result total;
+    std::mutex mutex;
+    std::vector<std::jthread> threads;
+    threads.reserve(static_cast<std::size_t>(options.connections));
+    for (int index = 0; index < options.connections; ++index)
+        threads.emplace_back([&, index] { runConnection(options, index, total, mutex); });
+    threads.clear();
+    print(total, options);
+    return 0;
+}
+
+} // namespace acaciaslip::standins
