Settle the interfaces that the parts meet at

Cause: picking needs the whole request, answers must say when a node leaves, and an empty node needs peers to ask.

--- a/src/coordination/effects.hpp
+++ b/src/coordination/effects.hpp
@@ -41,6 +41,7 @@
     state::request_id id {};
     state::host_id server;
     std::uint32_t attempts = 0;
+    bool closeConnection = false; ///< this node is leaving: ask the caller to connect anew
     state::payload_pointer answer;
 };
 
@@ -51,6 +52,7 @@
     state::verdict outcome = state::verdict::not_run;
     std::uint32_t attempts = 0;
     state::duration retryAfter {};
+    bool closeConnection = false; ///< this node is leaving: ask the caller to connect anew
 };
 
 /// Read a server's health or load endpoint.
--- a/src/coordination/picking.cpp
+++ b/src/coordination/picking.cpp
@@ -33,11 +33,12 @@
         && server.condition != state::server_condition::ejected && !(server.report && server.report->draining);
 }
 
-std::optional<state::server_index> pickServer(const node& self, state::service_index service,
-    absl::Span<const state::server_index> tried, state::time_point /*now*/, random_generator& random)
+std::optional<state::server_index> pickServer(
+    const node& self, const state::request& request, state::time_point /*now*/, random_generator& random)
 {
+    const auto& tried = request.tried;
     std::vector<state::server_index> candidates;
-    for (const auto index : self.fleet.services[service].members) {
+    for (const auto index : self.fleet.services[request.service].members) {
         const auto& server = self.fleet.servers[index];
         if (isCandidate(server) && hasRoom(self, server) && std::find(tried.begin(), tried.end(), index) == tried.end())
             candidates.push_back(index);
--- a/src/coordination/request_handling.cpp
+++ b/src/coordination/request_handling.cpp
@@ -15,12 +15,17 @@
 constexpr state::duration retryAfter = std::chrono::seconds { 1 };
 constexpr std::uint32_t maxAttempts = 4;
 
+bool isLeaving(const node& self)
+{
+    return self.phase >= node_phase::lame_duck;
+}
+
 void refuse(node& self, const state::request& request, state::refusal_reason reason, effect_list& effects)
 {
     const auto outcome = request.mayHaveRun ? state::verdict::may_have_run : state::verdict::not_run;
     ++self.counters.requestsByVerdict[outcome];
     ++self.counters.refusals[reason];
-    effects.emplace_back(refuse_caller { request.id, reason, outcome, request.attempts, retryAfter });
+    effects.emplace_back(refuse_caller { request.id, reason, outcome, request.attempts, retryAfter, isLeaving(self) });
 }
 
 void forget(node& self, state::request_id id)
@@ -65,7 +70,7 @@
 
 bool trySend(node& self, state::request& request, state::time_point now, random_generator& random, effect_list& effects)
 {
-    const auto picked = pickServer(self, request.service, request.tried, now, random);
+    const auto picked = pickServer(self, request, now, random);
     return picked && sendTo(self, request, *picked, now, effects);
 }
 
@@ -148,8 +153,8 @@
     noteAttemptFinished(self, attempt.server, finished, attempt.startedAt, now, effects);
     if (finished.outcome == state::attempt_outcome::answered) {
         ++self.counters.requestsByVerdict[state::verdict::ran];
-        effects.emplace_back(
-            answer_caller { request.id, self.fleet.servers[attempt.server].id, request.attempts, finished.answer });
+        effects.emplace_back(answer_caller {
+            request.id, self.fleet.servers[attempt.server].id, request.attempts, isLeaving(self), finished.answer });
         return forget(self, requestId);
     }
     request.mayHaveRun |= state::verdictOf(finished.outcome) == state::verdict::may_have_run;
--- a/src/state/node_settings.hpp
+++ b/src/state/node_settings.hpp
@@ -16,6 +16,7 @@
     std::string peers; ///< "ip:port" for other nodes, UDP and TCP
     std::string operators; ///< "ip:port" for operators
     std::vector<std::string> platform; ///< "ip:port" of the platform's configuration service, tried in turn
+    std::vector<std::string> seedPeers; ///< "ip:port" of nodes to ask when the platform is down at the start
     duration lameDuck = std::chrono::seconds { 2 }; ///< between announcing that we leave and refusing new work
     std::string logLevel = "info";
     std::uint32_t callerThreads = 128;
--- a/standins/load.cpp
+++ b/standins/load.cpp
@@ -74,6 +74,10 @@
             break;
         std::this_thread::sleep_until(due);
         const auto sent = load_clock::now();
+        if (sent >= end) {
+            ++own.counts["not_sent"];
+            continue;
+        }
         const auto result = client.send(
             makeRequest(options, fmt::format("{}-{}-{}", start.time_since_epoch().count(), index, number)));
         own.milliseconds.push_back(std::chrono::duration<double, std::milli>(load_clock::now() - sent).count());
