Read the heads and bodies of messages strictly

Cause: httplib's reader takes what can be read in two ways (Content-Length with Transfer-Encoding, two lengths, a length that is no number, a header name with a space), decodes percent signs in header values, so that %0d%0a becomes a line end on its way through, and takes a body that ends in a broken chunk as whole. Change: protocol/http_head checks a head and gives it in a form that the library reads back unchanged; protocol/body_reader takes bodies by their framing, strict about chunks, up to a limit. Conclusion: what ends a message is decided here; the library reads names and values.

--- /dev/null
+++ b/tests/protocol/body_reader_test.cpp
@@ -0,0 +1,68 @@
+#include "protocol/body_reader.hpp"
+
+#include <random>
+
+#include <gtest/gtest.h>
+
+namespace acaciaslip::protocol {
+namespace {
+
+constexpr std::uint64_t mostBytes = 1000;
+
+class body_reader_test : public testing::Test {
+protected:
+    [[nodiscard]] static body_progress readChunked(std::string_view text)
+    {
+        body_reader reader(body_framing::chunked, 0, mostBytes);
+        return reader.take(text);
+    }
+};
+
+TEST_F(body_reader_test, LengthBody_MoreArrived_LeavesTheRest)
+{
+    body_reader reader(body_framing::length, 3, mostBytes);
+    std::string_view input = "ab";
+    EXPECT_EQ(reader.take(input), body_progress::more);
+    input = "cGET /";
+    EXPECT_EQ(reader.take(input), body_progress::whole);
+    EXPECT_EQ(input, "GET /");
+    EXPECT_EQ(reader.content(), "abc");
+}
+
+TEST_F(body_reader_test, ChunkedBody_CutAnywhere_ReadsTheSame)
+{
+    const std::string text = "3;a=b\r\nabc\r\n0A\r\n0123456789\r\n0\r\nTrailer: x\r\n\r\nrest";
+    std::mt19937 random(11);
+    for (int round = 0; round < 2000; ++round) {
+        body_reader reader(body_framing::chunked, 0, mostBytes);
+        auto progress = body_progress::more;
+        std::string left;
+        for (std::size_t at = 0; at < text.size();) {
+            const auto size = std::min<std::size_t>(1 + random() % 12, text.size() - at);
+            std::string_view input = std::string_view(text).substr(at, size);
+            progress = reader.take(input);
+            left += input;
+            at += size;
+        }
+        ASSERT_EQ(progress, body_progress::whole);
+        ASSERT_EQ(reader.content(), "abc0123456789");
+        ASSERT_EQ(left, "rest");
+    }
+}
+
+TEST_F(body_reader_test, ChunkedBody_Malformed_IsSaid)
+{
+    for (const auto* text : { "\r\n", "x\r\n", "-1\r\n", " 3\r\nabc\r\n", "0x3\r\nabc\r\n", "3\nabc\r\n",
+             "3\r\nabcd\r\n", "3\r\nabc\n", "3\rX\r\n", "1000000000000000\r\n", "3 \r\nabc\r\n" })
+        EXPECT_EQ(readChunked(text), body_progress::malformed) << text;
+}
+
+TEST_F(body_reader_test, ChunkedBody_OverLimit_IsSaidBeforeItIsRead)
+{
+    EXPECT_EQ(readChunked("3e9\r\n"), body_progress::too_large);
+    EXPECT_EQ(readChunked("ffffffffffffff\r\n"), body_progress::too_large);
+    EXPECT_EQ(readChunked("3e8\r\n"), body_progress::more);
+}
+
+} // namespace
+} // namespace acaciaslip::protocol
