Measure what a node adds to a server's own answers

Cause: latency through a node and straight to a server came from two runs, under different loads of the machine.

--- a/standins/commands.hpp
+++ b/standins/commands.hpp
@@ -11,4 +11,7 @@
 /// Sends requests at a set rate and prints what came back. Returns the exit code.
 [[nodiscard]] int runLoad(int argc, const char** argv);
 
+/// Measures what a node adds to a server's own answers. Returns the exit code.
+[[nodiscard]] int runCompare(int argc, const char** argv);
+
 } // namespace acaciaslip::standins
--- a/standins/load.cpp
+++ b/standins/load.cpp
@@ -1,4 +1,5 @@
 #include "standins/commands.hpp"
+#include "standins/load_client.hpp"
 #include "standins/options.hpp"
 
 #include <algorithm>
@@ -9,8 +10,6 @@
 #include <thread>
 #include <vector>
 
-#include <httplib.h>
-
 namespace acaciaslip::standins {
 
 namespace {
@@ -19,12 +18,10 @@
 
 struct load_options {
     std::vector<std::string> targets;
-    std::string path = "/";
-    std::string method = "GET";
+    request_shape shape;
     int rate = 1000; ///< requests a second over all connections; 0: as fast as answers come
     int connections = 8;
     double seconds = 3;
-    bool keys = false; ///< give each request its own Idempotency-Key
 };
 
 struct load_result {
@@ -32,34 +29,9 @@
     std::vector<double> milliseconds;
 };
 
-httplib::Request makeRequest(const load_options& options, const std::string& key)
-{
-    httplib::Request request;
-    request.method = options.method;
-    request.path = options.path;
-    if (options.method != "GET")
-        request.body = "{}";
-    if (options.keys)
-        request.set_header("Idempotency-Key", key);
-    return request;
-}
-
-std::string describe(const httplib::Result& result)
-{
-    if (!result)
-        return "no_answer";
-    const auto verdict = result->get_header_value("Acaciaslip-Verdict");
-    return fmt::format("{} {}", result->status, verdict.empty() ? "-" : verdict);
-}
-
 void runConnection(const load_options& options, int index, load_result& total, std::mutex& mutex)
 {
-    std::string ip;
-    const auto& target = options.targets[static_cast<std::size_t>(index) % options.targets.size()];
-    const int port = splitAddress(target, ip);
-    httplib::Client client(ip, port);
-    client.set_keep_alive(true);
-    client.set_tcp_nodelay(true);
+    load_client client(options.targets[static_cast<std::size_t>(index) % options.targets.size()]);
     load_result own;
     const auto start = load_clock::now();
     const auto end
@@ -78,10 +50,10 @@
             ++own.counts["not_sent"];
             continue;
         }
-        const auto result = client.send(
-            makeRequest(options, fmt::format("{}-{}-{}", start.time_since_epoch().count(), index, number)));
+        const auto result
+            = client.send(options.shape, fmt::format("{}-{}-{}", start.time_since_epoch().count(), index, number));
         own.milliseconds.push_back(std::chrono::duration<double, std::milli>(load_clock::now() - sent).count());
-        ++own.counts[describe(result)];
+        ++own.counts[result];
     }
     const std::lock_guard lock(mutex);
     for (const auto& [what, count] : own.counts)
@@ -89,14 +61,6 @@
     total.milliseconds.insert(total.milliseconds.end(), own.milliseconds.begin(), own.milliseconds.end());
 }
 
-double quantile(const std::vector<double>& sorted, double share)
-{
-    if (sorted.empty())
-        return 0;
-    const auto index = static_cast<std::size_t>(share * static_cast<double>(sorted.size() - 1));
-    return sorted[index];
-}
-
 void print(load_result& result, const load_options& options)
 {
     std::sort(result.milliseconds.begin(), result.milliseconds.end());
@@ -128,9 +92,9 @@
     };
     if (!readOptions(argc, argv, table) || targets == nullptr)
         return 2;
-    options.keys = keys != 0;
-    options.path = path != nullptr ? path : options.path;
-    options.method = method != nullptr ? method : options.method;
+    options.shape.keys = keys != 0;
+    options.shape.path = path != nullptr ? path : options.shape.path;
+    options.shape.method = method != nullptr ? method : options.shape.method;
     std::stringstream list { targets };
     for (std::string target; std::getline(list, target, ',');)
         options.targets.push_back(target);
--- a/standins/main.cpp
+++ b/standins/main.cpp
@@ -16,6 +16,8 @@
         return acaciaslip::standins::runPlatform(argc - 1, arguments);
     if (command == "load")
         return acaciaslip::standins::runLoad(argc - 1, arguments);
-    fmt::print(stderr, "usage: acaciaslip_standins server|platform|load [--help]\n");
+    if (command == "compare")
+        return acaciaslip::standins::runCompare(argc - 1, arguments);
+    fmt::print(stderr, "usage: acaciaslip_standins server|platform|load|compare [--help]\n");
     return exitUsage;
 }
