--- a/src/transport/caller_edge.cpp
+++ b/src/transport/caller_edge.cpp
@@ -1,105 +1,82 @@
 #include "transport/caller_edge.hpp"
 
 #include "transport/address.hpp"
+#include "transport/clock.hpp"
 
-#include <array>
+#include <algorithm>
 #include <chrono>
 
-#include <absl/strings/numbers.h>
+#include <fcntl.h>
 #include <fmt/format.h>
+#include <netinet/tcp.h>
 #include <pthread.h>
+#include <sys/resource.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 namespace acaciaslip::transport {
 
 namespace {
 
-constexpr std::array<std::string_view, 5> idempotentMethods { "GET", "HEAD", "PUT", "DELETE", "OPTIONS" };
+constexpr std::uint64_t loops = 2;
+constexpr int backlog = 1024;
+constexpr std::size_t refusedConnections = 256; ///< that are answered at a time; further ones are only closed
+constexpr std::chrono::milliseconds pollInterval { 10 };
 
-bool isIdempotentMethod(std::string_view method)
+/// Runs each task at once, on the thread that takes connections: passing one on does not wait.
+class inline_queue final : public httplib::TaskQueue {
+public:
+    void enqueue(std::function<void()> task) override { task(); }
+    void shutdown() override { }
+};
+
+/// The limit that descriptors leave: half of them, so that as many may lead to servers.
+std::size_t limitByDescriptors(std::size_t wanted)
 {
-    return std::find(idempotentMethods.begin(), idempotentMethods.end(), method) != idempotentMethods.end();
+    rlimit descriptors {};
+    if (getrlimit(RLIMIT_NOFILE, &descriptors) != 0 || descriptors.rlim_cur == RLIM_INFINITY)
+        return wanted;
+    return std::min(wanted, static_cast<std::size_t>(descriptors.rlim_cur / 2));
 }
 
-coordination::request_arrived describe(state::request_id id, const std::shared_ptr<exchange>& taken)
+} // namespace
+
+caller_edge::listener::listener(caller_edge& edge)
+    : m_edge(edge)
 {
-    const auto& request = taken->request;
-    coordination::request_arrived arrived;
-    arrived.id = id;
-    arrived.host = request.get_header_value("Host");
-    arrived.host = arrived.host.substr(0, arrived.host.rfind(':'));
-    arrived.path = request.path;
-    arrived.idempotentMethod = isIdempotentMethod(request.method);
-    arrived.idempotencyKey = request.get_header_value("Idempotency-Key");
-    std::int64_t timeout = 0;
-    if (absl::SimpleAtoi(request.get_header_value("Request-Timeout-Ms"), &timeout) && timeout > 0)
-        arrived.timeout = std::chrono::milliseconds { timeout };
-    arrived.body = taken;
-    return arrived;
+    new_task_queue = [] { return new inline_queue; };
+    set_socket_options([](socket_t socket) {
+        const int on = 1;
+        setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    });
 }
 
-int statusOf(state::refusal_reason reason)
+/// The library asks for room for five connections that are not yet taken; a burst needs more.
+void caller_edge::listener::deepenBacklog()
 {
-    switch (reason) {
-    case state::refusal_reason::no_route:
-        return 404;
-    case state::refusal_reason::duplicate_key:
-        return 409;
-    case state::refusal_reason::deadline_exceeded:
-        return 504;
-    case state::refusal_reason::broken_answer:
-        return 502;
-    case state::refusal_reason::no_server:
-    case state::refusal_reason::overloaded:
-    case state::refusal_reason::leaving:
-        return 503;
-    }
-    return 503;
+    (void)::listen(svr_sock_, backlog);
 }
 
-void write(const coordination::answer_caller& answered, httplib::Response& response)
+bool caller_edge::listener::process_and_close_socket(socket_t sock)
 {
-    const auto& source = static_cast<const server_answer&>(*answered.answer).response;
-    response.status = source.status;
-    response.body = source.body;
-    for (const auto& [name, value] : source.headers) {
-        if (!isHopByHop(name) && name != "Content-Length" && name != "Acaciaslip-Request")
-            response.headers.emplace(name, value);
-    }
-    response.set_header("Acaciaslip-Verdict", "ran");
-    response.set_header("Acaciaslip-Server", answered.server);
-    response.set_header("Acaciaslip-Attempts", std::to_string(answered.attempts));
+    m_edge.take(sock);
+    return true;
 }
 
-void write(const coordination::refuse_caller& refused, httplib::Response& response)
+caller_edge::caller_edge(const event_sink& events, const state::node_settings& settings, const edge_limits& limits)
+    : m_settings(settings)
+    , m_limits(limits)
+    , m_listener(*this)
 {
-    response.status = statusOf(refused.reason);
-    response.set_header("Acaciaslip-Verdict", std::string(state::findName(state::verdictNames, refused.outcome)));
-    response.set_header("Acaciaslip-Attempts", std::to_string(refused.attempts));
-    if (refused.outcome == state::verdict::not_run && response.status == 503) {
-        const auto seconds = std::chrono::ceil<std::chrono::seconds>(refused.retryAfter).count();
-        response.set_header("Retry-After", std::to_string(seconds));
-    }
-    response.set_content(fmt::format("{}\n", state::findName(state::refusalReasonNames, refused.reason)), "text/plain");
+    m_limits.message.bodyBytes = settings.maxBodyBytes;
+    m_limits.connections = limitByDescriptors(limits.connections);
+    for (std::uint64_t index = 0; index < loops; ++index)
+        m_loops.push_back(std::make_unique<caller_loop>(events, m_limits, index, loops));
 }
 
-} // namespace
-
-caller_edge::caller_edge(decision_thread& decisions, const state::node_settings& settings)
-    : m_decisions(decisions)
-    , m_settings(settings)
+caller_edge::~caller_edge()
 {
-    const auto handler
-        = [this](const httplib::Request& request, httplib::Response& response) { carry(request, response); };
-    m_server.set_tcp_nodelay(true);
-    m_server.set_payload_max_length(settings.maxBodyBytes);
-    m_server.set_keep_alive_max_count(std::numeric_limits<std::size_t>::max());
-    m_server.new_task_queue = [threads = settings.callerThreads] { return new httplib::ThreadPool(threads); };
-    m_server.Get(".*", handler);
-    m_server.Post(".*", handler);
-    m_server.Put(".*", handler);
-    m_server.Patch(".*", handler);
-    m_server.Delete(".*", handler);
-    m_server.Options(".*", handler);
+    stop();
 }
 
 absl::Status caller_edge::start()
@@ -107,47 +84,77 @@
     const auto parsed = parseAddress(m_settings.callers);
     if (!parsed.ok())
         return parsed.status();
-    if (!m_server.bind_to_port(parsed->ip, parsed->port))
+    if (!m_listener.bind_to_port(parsed->ip, parsed->port))
         return absl::UnavailableError(fmt::format("cannot listen on {} for callers", m_settings.callers));
-    m_listener = std::thread([this] { m_server.listen_after_bind(); });
-    pthread_setname_np(m_listener.native_handle(), "callers");
+    m_listener.deepenBacklog();
+    for (auto& loop : m_loops) {
+        if (!loop->start())
+            return absl::ResourceExhaustedError("cannot start a thread for callers");
+    }
+    m_thread = std::thread([this] { m_listener.listen_after_bind(); });
+    pthread_setname_np(m_thread.native_handle(), "callers");
     return absl::OkStatus();
 }
 
 void caller_edge::finish(caller_result result)
 {
     const auto id = std::visit([](const auto& known) { return known.id; }, result);
-    std::shared_ptr<exchange> waiting;
-    {
-        const std::lock_guard lock(m_mutex);
-        const auto found = m_open.find(id);
-        if (found == m_open.end())
-            return;
-        waiting = std::move(found->second);
-        m_open.erase(found);
-    }
-    waiting->result.set_value(std::move(result));
+    m_loops[static_cast<std::uint64_t>(id) % loops]->finish(std::move(result));
 }
 
 void caller_edge::stop()
 {
-    m_server.stop();
-    if (m_listener.joinable())
-        m_listener.join();
+    if (!m_thread.joinable())
+        return;
+    for (auto& loop : m_loops)
+        loop->beginStop();
+    awaitQuiet();
+    m_listener.stop();
+    m_thread.join();
+    for (auto& loop : m_loops)
+        loop->refuseParts();
+    const auto end = monotonicNow() + m_limits.stop;
+    while (openConnections() > 0 && monotonicNow() < end)
+        std::this_thread::sleep_for(pollInterval);
+    for (auto& loop : m_loops)
+        loop->stop();
+}
+
+std::size_t caller_edge::openConnections() const noexcept
+{
+    std::size_t open = 0;
+    for (const auto& loop : m_loops)
+        open += loop->openConnections();
+    return open;
+}
+
+/// Deals a connection out. Runs on the thread that takes them.
+void caller_edge::take(int socket)
+{
+    const auto open = openConnections();
+    if (open >= m_limits.connections + refusedConnections) {
+        close(socket);
+        return;
+    }
+    const int on = 1;
+    setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    fcntl(socket, F_SETFL, fcntl(socket, F_GETFL) | O_NONBLOCK);
+    m_loops[m_taken++ % loops]->add(socket, open >= m_limits.connections);
 }
 
-void caller_edge::carry(const httplib::Request& request, httplib::Response& response)
+/// Waits until no connection has come for a while, so that none is left in the listener's queue when it closes.
+void caller_edge::awaitQuiet() const
 {
-    const auto id = state::request_id { m_nextRequest++ };
-    auto taken = std::make_shared<exchange>();
-    taken->request = request;
-    auto result = taken->result.get_future();
-    {
-        const std::lock_guard lock(m_mutex);
-        m_open[id] = taken;
+    const auto end = monotonicNow() + m_limits.stop;
+    auto seen = m_taken.load();
+    auto quietSince = monotonicNow();
+    while (monotonicNow() - quietSince < m_limits.quiet && monotonicNow() < end) {
+        std::this_thread::sleep_for(pollInterval);
+        if (m_taken.load() == seen)
+            continue;
+        seen = m_taken.load();
+        quietSince = monotonicNow();
     }
-    m_decisions.post(describe(id, taken));
-    std::visit([&](const auto& known) { write(known, response); }, result.get());
 }
 
 } // namespace acaciaslip::transport
--- a/src/transport/daemon.cpp
+++ b/src/transport/daemon.cpp
@@ -4,6 +4,7 @@
 #include "transport/attempt_sender.hpp"
 #include "transport/caller_edge.hpp"
 #include "transport/decision_thread.hpp"
+#include "transport/event_sink.hpp"
 #include "transport/logger.hpp"
 #include "transport/operators_edge.hpp"
 #include "transport/server_prober.hpp"
@@ -32,6 +33,13 @@
     return (static_cast<std::uint64_t>(device()) << 32U) | device();
 }
 
+protocol::message_limits limitMessages(const state::node_settings& settings)
+{
+    protocol::message_limits limits;
+    limits.bodyBytes = settings.maxBodyBytes;
+    return limits;
+}
+
 } // namespace
 
 /// Every part, in the order in which they may refer to each other.
@@ -41,14 +49,21 @@
             [this](coordination::effect&& wanted) {
                 std::visit([this](auto& known) { carryOut(std::move(known)); }, wanted);
             })
-        , callers(decisions, settings)
+        , callers(makeSink(), settings)
         , operators(decisions, settings)
-        , attempts(decisions, fmt::format("{}.{}", settings.id, incarnation), settings.callerThreads)
+        , attempts(makeSink(), fmt::format("{}.{}", settings.id, incarnation), settings.callerThreads,
+              limitMessages(settings))
         , prober(decisions)
         , reader(decisions)
     {
     }
 
+    event_sink makeSink()
+    {
+        return { [this](coordination::event&& happened) { decisions.post(std::move(happened)); },
+            [this](coordination::event&& happened) { return decisions.tryPost(std::move(happened)); } };
+    }
+
     void carryOut(coordination::send_attempt&& wanted) { attempts.send(std::move(wanted)); }
     void carryOut(const coordination::cancel_attempt& wanted) { attempts.cancel(wanted); }
     void carryOut(coordination::answer_caller&& wanted) { callers.finish(std::move(wanted)); }
--- a/src/transport/deadline_stream.cpp
+++ b/src/transport/deadline_stream.cpp
@@ -4,10 +4,8 @@
 
 #include <algorithm>
 #include <cerrno>
-#include <cstring>
 #include <limits>
 
-#include <arpa/inet.h>
 #include <poll.h>
 #include <sys/socket.h>
 
@@ -15,23 +13,11 @@
 
 namespace {
 
-using name_reader = int (*)(int, sockaddr*, socklen_t*);
-
-void readAddress(name_reader readName, socket_t socket, std::string& ip, int& port)
-{
-    sockaddr_in found {};
-    socklen_t size = sizeof(found);
-    if (readName(socket, reinterpret_cast<sockaddr*>(&found), &size) != 0 || found.sin_family != AF_INET)
-        return;
-    std::array<char, INET_ADDRSTRLEN> text {};
-    if (inet_ntop(AF_INET, &found.sin_addr, text.data(), text.size()) != nullptr)
-        ip = text.data();
-    port = ntohs(found.sin_port);
-}
+constexpr std::size_t receiveBytes = 16384;
 
 } // namespace
 
-bool deadline_stream::waitFor(short events) const
+bool deadline_stream::waitFor(short events)
 {
     for (;;) {
         int timeout = -1;
@@ -52,53 +38,38 @@
     }
 }
 
-bool deadline_stream::is_readable() const
-{
-    return hasUnread() || waitFor(POLLIN);
-}
-
-bool deadline_stream::is_writable() const
+bool deadline_stream::fill()
 {
-    return waitFor(POLLOUT);
-}
-
-ssize_t deadline_stream::read(char* to, size_t size)
-{
-    if (!hasUnread()) {
-        if (!waitFor(POLLIN))
-            return -1;
-        const auto got = recv(m_socket, m_buffer.data(), m_buffer.size(), 0);
-        if (got <= 0)
-            return got;
-        m_begin = 0;
-        m_end = static_cast<std::size_t>(got);
+    m_received.erase(0, m_begin);
+    m_begin = 0;
+    const auto kept = m_received.size();
+    while (waitFor(POLLIN)) {
+        m_received.resize(kept + receiveBytes);
+        const auto got = recv(m_socket, m_received.data() + kept, receiveBytes, MSG_DONTWAIT);
+        m_received.resize(kept + static_cast<std::size_t>(std::max<ssize_t>(got, 0)));
+        if (got >= 0)
+            return got > 0;
+        if (errno != EAGAIN && errno != EINTR)
+            return false;
     }
-    const auto given = std::min(size, m_end - m_begin);
-    std::memcpy(to, m_buffer.data() + m_begin, given);
-    m_begin += given;
-    return static_cast<ssize_t>(given);
+    return false;
 }
 
-ssize_t deadline_stream::write(const char* from, size_t size)
+bool deadline_stream::write(std::string_view bytes)
 {
-    if (!waitFor(POLLOUT))
-        return -1;
-    const auto taken = send(m_socket, from, size, MSG_NOSIGNAL | MSG_DONTWAIT);
-    if (taken < 0 && (errno == EAGAIN || errno == EINTR))
-        return write(from, size);
-    if (taken > 0)
-        m_bytesWritten += static_cast<std::uint64_t>(taken);
-    return taken;
-}
-
-void deadline_stream::get_remote_ip_and_port(std::string& ip, int& port) const
-{
-    readAddress(getpeername, m_socket, ip, port);
-}
-
-void deadline_stream::get_local_ip_and_port(std::string& ip, int& port) const
-{
-    readAddress(getsockname, m_socket, ip, port);
+    while (!bytes.empty()) {
+        const auto taken = send(m_socket, bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+        if (taken > 0) {
+            m_bytesWritten += static_cast<std::uint64_t>(taken);
+            bytes.remove_prefix(static_cast<std::size_t>(taken));
+        } else if (errno == EAGAIN) {
+            if (!waitFor(POLLOUT))
+                return false;
+        } else if (errno != EINTR) {
+            return false;
+        }
+    }
+    return true;
 }
 
 } // namespace acaciaslip::transport
--- a/src/transport/deadline_stream.hpp
+++ b/src/transport/deadline_stream.hpp
@@ -2,21 +2,18 @@
 
 #include "state/time.hpp"
 
-#include <array>
-#include <cstddef>
 #include <cstdint>
 #include <string>
-
-#include <httplib.h>
+#include <string_view>
 
 namespace acaciaslip::transport {
 
-/// A buffered stream over a socket on which every read and write ends by one deadline.
+/// Buffered reads and writes on a socket that all end by one deadline.
 ///
-/// httplib's own stream limits each read by itself, so that a peer sending one byte at a time is never late.
-class deadline_stream final : public httplib::Stream {
+/// A limit for each read alone would never end a peer that sends one byte at a time.
+class deadline_stream {
 public:
-    explicit deadline_stream(socket_t socket) noexcept
+    explicit deadline_stream(int socket) noexcept
         : m_socket(socket)
     {
     }
@@ -24,35 +21,34 @@
     /// Sets the instant after which reads and writes fail.
     void setDeadline(state::time_point deadline) noexcept { m_deadline = deadline; }
 
-    /// Whether bytes were read that nobody has asked for yet.
-    [[nodiscard]] bool hasUnread() const noexcept { return m_begin < m_end; }
+    /// Waits for more bytes and adds them to what is unread.
+    /// \return false at the end of the stream, on a failure or past the deadline
+    [[nodiscard]] bool fill();
+
+    /// Bytes that have arrived and are not consumed.
+    [[nodiscard]] std::string_view unread() const noexcept { return std::string_view(m_received).substr(m_begin); }
+
+    /// Drops bytes off the front of what is unread.
+    void consume(std::size_t count) noexcept { m_begin += count; }
 
-    /// Bytes handed to the kernel so far.
+    /// Writes all of it. \return false on a failure or past the deadline; bytesWritten() tells how far it came
+    [[nodiscard]] bool write(std::string_view bytes);
+
+    /// Bytes handed to the kernel so far, those of a write that failed half-way included.
     [[nodiscard]] std::uint64_t bytesWritten() const noexcept { return m_bytesWritten; }
 
     /// Whether a read or write failed because the deadline had passed.
     [[nodiscard]] bool isTimedOut() const noexcept { return m_timedOut; }
 
-    [[nodiscard]] bool is_readable() const override;
-    [[nodiscard]] bool is_writable() const override;
-    ssize_t read(char* to, size_t size) override;
-    ssize_t write(const char* from, size_t size) override;
-    void get_remote_ip_and_port(std::string& ip, int& port) const override;
-    void get_local_ip_and_port(std::string& ip, int& port) const override;
-    [[nodiscard]] socket_t socket() const override { return m_socket; }
-
 private:
-    [[nodiscard]] bool waitFor(short events) const;
-
-    static constexpr std::size_t bufferBytes = 16384;
+    [[nodiscard]] bool waitFor(short events);
 
-    socket_t m_socket;
+    int m_socket;
     state::time_point m_deadline = state::time_point::max();
     std::uint64_t m_bytesWritten = 0;
-    mutable bool m_timedOut = false;
+    bool m_timedOut = false;
     std::size_t m_begin = 0;
-    std::size_t m_end = 0;
-    std::array<char, bufferBytes> m_buffer;
+    std::string m_received;
 };
 
 } // namespace acaciaslip::transport
--- /dev/null
+++ b/tests/transport/attempt_sender_test.cpp
@@ -0,0 +1,408 @@
+#include "transport/attempt_sender.hpp"
+
+#include "transport/clock.hpp"
+#include "transport/raw_socket.hpp"
+
+#include <algorithm>
+#include <condition_variable>
+#include <memory>
+#include <mutex>
+
+#include <gtest/gtest.h>
+
+namespace acaciaslip::transport {
+namespace {
+
+using namespace std::chrono_literals;
+using outcome = state::attempt_outcome;
+
+/// An attempt sender in front of a server that sends whatever a test wants.
+class attempt_sender_test : public testing::Test {
+protected:
+    using reply_maker = std::function<std::string(const std::string& request)>;
+
+    /// Starts a server that answers each request with what `reply` makes of it.
+    void serve(const reply_maker& reply)
+    {
+        m_server = std::make_unique<raw_server>([this, reply](raw_socket& connection) {
+            for (;;) {
+                const auto request = connection.readRequest();
+                if (request.find("\r\n\r\n") == std::string::npos)
+                    return;
+                {
+                    const std::lock_guard lock(m_mutex);
+                    m_requests.push_back(request);
+                }
+                const auto text = reply(request);
+                connection.send(text);
+                if (text.empty() || headerOf(text, "Connection") == "close")
+                    return;
+            }
+        });
+    }
+
+    void startSender(std::size_t threads = 8)
+    {
+        m_limits.bodyBytes = 100000;
+        const auto take = [this](coordination::event&& happened) {
+            const std::lock_guard lock(m_mutex);
+            m_finished.push_back(std::get<coordination::attempt_finished>(std::move(happened)));
+            m_changed.notify_all();
+            return true;
+        };
+        m_sender = std::make_unique<attempt_sender>(event_sink { take, take }, "n1", threads, m_limits);
+    }
+
+    void TearDown() override { m_sender.reset(); }
+
+    [[nodiscard]] coordination::send_attempt makeAttempt(std::uint64_t id, state::payload_pointer body = nullptr)
+    {
+        if (!body) {
+            auto made = std::make_shared<exchange>();
+            made->method = m_method;
+            made->target = "/a%20b?c";
+            made->headers = { { "Host", "h" }, { "X", "1" }, { "X", "2" } };
+            made->body = m_body;
+            body = std::move(made);
+        }
+        const auto now = monotonicNow();
+        return { state::attempt_id { id }, "s1", m_server->address(), now + m_timeout, now + m_timeout, m_share, body };
+    }
+
+    [[nodiscard]] coordination::attempt_finished waitFor(std::uint64_t id)
+    {
+        std::unique_lock lock(m_mutex);
+        const auto find = [&] {
+            return std::find_if(m_finished.begin(), m_finished.end(),
+                [&](const auto& finished) { return finished.id == state::attempt_id { id }; });
+        };
+        EXPECT_TRUE(m_changed.wait_for(lock, 20s, [&] { return find() != m_finished.end(); })) << "attempt " << id;
+        return find() == m_finished.end() ? coordination::attempt_finished {} : *find();
+    }
+
+    [[nodiscard]] coordination::attempt_finished sendOne(std::uint64_t id)
+    {
+        m_sender->send(makeAttempt(id));
+        return waitFor(id);
+    }
+
+    [[nodiscard]] std::string request(std::size_t index)
+    {
+        const std::lock_guard lock(m_mutex);
+        return index < m_requests.size() ? m_requests[index] : "";
+    }
+
+    [[nodiscard]] std::size_t requests()
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_requests.size();
+    }
+
+    [[nodiscard]] static std::string echo(const std::string& request)
+    {
+        return "HTTP/1.1 200 OK\r\nAcaciaslip-Request: " + headerOf(request, "Acaciaslip-Request") + "\r\n";
+    }
+
+    [[nodiscard]] static std::string answerWith(const std::string& request, const std::string& body)
+    {
+        return echo(request) + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    }
+
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::vector<coordination::attempt_finished> m_finished;
+    std::vector<std::string> m_requests;
+    std::atomic<bool> m_done = false; ///< lets a server that holds its answer go on
+    std::string m_method = "POST";
+    std::string m_body = "{}";
+    state::duration m_timeout = 10s;
+    std::uint32_t m_share = 8;
+    protocol::message_limits m_limits;
+    std::unique_ptr<raw_server> m_server;
+    std::unique_ptr<attempt_sender> m_sender;
+};
+
+TEST_F(attempt_sender_test, Answer_Whole_IsPassedOnAndTheConnectionKept)
+{
+    serve([](const std::string& request) {
+        return echo(request) + "Set-Cookie: a=%0d%0a\r\nConnection: X\r\nX: hop\r\nAcaciaslip-Verdict: forged\r\n"
+            + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n";
+    });
+    startSender();
+    for (std::uint64_t id = 1; id <= 3; ++id) {
+        const auto finished = sendOne(id);
+        ASSERT_EQ(finished.outcome, outcome::answered);
+        const auto& answer = static_cast<const server_answer&>(*finished.answer);
+        EXPECT_EQ(answer.status, 200);
+        EXPECT_EQ(answer.body, "abc");
+        ASSERT_EQ(answer.headers.size(), 1U);
+        EXPECT_EQ(answer.headers.find("Set-Cookie")->second, "a=%0d%0a");
+    }
+    EXPECT_EQ(m_server->connections(), 1);
+    EXPECT_EQ(request(0).substr(0, 25), "POST /a%20b?c HTTP/1.1\r\nA");
+    EXPECT_EQ(headerOf(request(0), "Acaciaslip-Request"), "n1-1");
+    EXPECT_EQ(request(0).substr(request(0).find("\r\n\r\n")), "\r\n\r\n{}");
+}
+
+TEST_F(attempt_sender_test, Answer_AnothersId_IsMismatchedAndTheConnectionClosed)
+{
+    serve([](const std::string& request) {
+        return "HTTP/1.1 200 OK\r\nAcaciaslip-Request: x" + headerOf(request, "Acaciaslip-Request")
+            + "\r\nContent-Length: 2\r\n\r\nab";
+    });
+    startSender();
+    EXPECT_EQ(sendOne(1).outcome, outcome::mismatched);
+    EXPECT_EQ(sendOne(2).outcome, outcome::mismatched);
+    EXPECT_EQ(m_server->connections(), 2);
+}
+
+TEST_F(attempt_sender_test, Answers_LateOfATimedOutAttempt_AreNeverAnothers)
+{
+    serve([this](const std::string& request) {
+        if (headerOf(request, "Acaciaslip-Request") == "n1-1")
+            std::this_thread::sleep_for(300ms);
+        return answerWith(request, headerOf(request, "Acaciaslip-Request"));
+    });
+    startSender();
+    m_timeout = 50ms;
+    EXPECT_EQ(sendOne(1).outcome, outcome::timed_out);
+    m_timeout = 10s;
+    for (std::uint64_t id = 2; id < 20; ++id) {
+        const auto finished = sendOne(id);
+        ASSERT_EQ(finished.outcome, outcome::answered);
+        EXPECT_EQ(static_cast<const server_answer&>(*finished.answer).body, "n1-" + std::to_string(id));
+        std::this_thread::sleep_for(20ms);
+    }
+}
+
+TEST_F(attempt_sender_test, Answer_EndInDoubt_IsNeverPassedOn)
+{
+    const std::vector<std::pair<std::string, outcome>> rests {
+        { "Content-Length: 5\r\nConnection: close\r\n\r\nabc", outcome::cut },
+        { "Transfer-Encoding: chunked\r\nConnection: close\r\n\r\n5\r\nabcde\r\n", outcome::cut },
+        { "Transfer-Encoding: chunked\r\n\r\n5\r\nabcdef\r\n0\r\n\r\n", outcome::mismatched },
+        { "Connection: close\r\n\r\nabc", outcome::mismatched },
+        { "Content-Length: 3\r\nContent-Length: 5\r\n\r\nabc", outcome::mismatched },
+        { "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\nabc", outcome::mismatched },
+        { "Content-Length: 100001\r\n\r\n", outcome::mismatched },
+        { "Acaciaslip-Request: n1-77\r\nContent-Length: 3\r\n\r\nabc", outcome::mismatched },
+    };
+    std::size_t index = 0;
+    serve([&](const std::string& request) { return echo(request) + rests[index].first; });
+    startSender();
+    for (; index < rests.size(); ++index) {
+        const auto finished = sendOne(index + 1);
+        EXPECT_EQ(finished.outcome, rests[index].second) << rests[index].first;
+        EXPECT_FALSE(finished.answer);
+        EXPECT_EQ(state::verdictOf(finished.outcome), state::verdict::may_have_run);
+    }
+    EXPECT_EQ(m_server->connections(), static_cast<int>(rests.size()));
+}
+
+TEST_F(attempt_sender_test, Answer_ExtraBytesBehindIt_EndTheConnection)
+{
+    serve([](const std::string& request) { return answerWith(request, "ab") + "HTTP/1.1 200 OK\r\n"; });
+    startSender();
+    EXPECT_EQ(sendOne(1).outcome, outcome::answered);
+    EXPECT_EQ(sendOne(2).outcome, outcome::answered);
+    EXPECT_EQ(m_server->connections(), 2);
+}
+
+TEST_F(attempt_sender_test, Answer_BehindInterimOnes_IsTaken)
+{
+    serve([](const std::string& request) {
+        return "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + answerWith(request, "ab");
+    });
+    startSender();
+    EXPECT_EQ(sendOne(1).outcome, outcome::answered);
+    EXPECT_EQ(sendOne(2).outcome, outcome::answered);
+    EXPECT_EQ(m_server->connections(), 1);
+}
+
+TEST_F(attempt_sender_test, Answer_WithoutBody_IsWholeAtOnce)
+{
+    const std::vector<std::pair<std::string, std::string>> kinds { { "HEAD", "200 OK\r\nContent-Length: 77" },
+        { "GET", "204 No Content" }, { "GET", "304 Not Modified\r\nContent-Length: 77" },
+        { "GET", "304 Not Modified" } };
+    std::size_t index = 0;
+    serve([&](const std::string& request) {
+        return "HTTP/1.1 " + kinds[index].second + "\r\nAcaciaslip-Request: " + headerOf(request, "Acaciaslip-Request")
+            + "\r\n\r\n";
+    });
+    startSender();
+    m_body.clear();
+    for (; index < kinds.size(); ++index) {
+        m_method = kinds[index].first;
+        const auto finished = sendOne(index + 1);
+        ASSERT_EQ(finished.outcome, outcome::answered) << kinds[index].second;
+        EXPECT_EQ(static_cast<const server_answer&>(*finished.answer).body, "");
+    }
+    EXPECT_EQ(m_server->connections(), 1);
+}
+
+TEST_F(attempt_sender_test, Shed_WithOwnId_IsNotRun)
+{
+    serve([](const std::string& request) {
+        return "HTTP/1.1 503 Busy\r\nAcaciaslip-Not-Run: 1\r\nAcaciaslip-Request: "
+            + headerOf(request, "Acaciaslip-Request") + "\r\nContent-Length: 0\r\n\r\n";
+    });
+    startSender();
+    EXPECT_EQ(sendOne(1).outcome, outcome::shed);
+    EXPECT_EQ(sendOne(2).outcome, outcome::shed);
+    EXPECT_EQ(m_server->connections(), 1);
+}
+
+TEST_F(attempt_sender_test, Shed_WithAnothersId_MayHaveRun)
+{
+    serve([](const std::string&) {
+        return "HTTP/1.1 503 Busy\r\nAcaciaslip-Not-Run: 1\r\nAcaciaslip-Request: n1-99\r\nContent-Length: 0\r\n\r\n";
+    });
+    startSender();
+    EXPECT_EQ(sendOne(1).outcome, outcome::mismatched);
+}
+
+TEST_F(attempt_sender_test, Attempt_PermitRunOut_WritesNothing)
+{
+    serve([](const std::string& request) { return answerWith(request, "ab"); });
+    startSender();
+    auto late = makeAttempt(1);
+    late.actBefore = monotonicNow() - 1ms;
+    m_sender->send(late);
+    EXPECT_EQ(waitFor(1).outcome, outcome::expired);
+    EXPECT_EQ(requests(), 0U);
+}
+
+TEST_F(attempt_sender_test, Server_NotListening_IsNotRun)
+{
+    serve([](const std::string&) { return ""; });
+    startSender();
+    auto lost = makeAttempt(1);
+    lost.address = "127.0.0.1:" + std::to_string(findFreePort());
+    m_sender->send(lost);
+    EXPECT_EQ(waitFor(1).outcome, outcome::connect_failed);
+}
+
+TEST_F(attempt_sender_test, Write_StalledHalfWay_CountsAsWritten)
+{
+    std::atomic<bool> done = false;
+    raw_server stalled([&](raw_socket&) { (void)eventually([&] { return done.load(); }); });
+    serve([](const std::string&) { return ""; });
+    startSender();
+    m_body.assign(64U * 1024U * 1024U, 'x');
+    m_timeout = 300ms;
+    auto attempt = makeAttempt(1);
+    attempt.address = stalled.address();
+    m_sender->send(attempt);
+    EXPECT_EQ(waitFor(1).outcome, outcome::timed_out);
+    done = true;
+}
+
+TEST_F(attempt_sender_test, Cancel_AnswerOutstanding_ClosesAndTellsTheServer)
+{
+    serve([&](const std::string& request) -> std::string {
+        if (request.find("POST /acaciaslip/cancel") == 0)
+            return "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+        (void)eventually([this] { return m_done.load(); });
+        return answerWith(request, "late");
+    });
+    startSender();
+    m_sender->send(makeAttempt(1));
+    ASSERT_TRUE(eventually([&] { return requests() == 1; }));
+    m_sender->cancel({ state::attempt_id { 1 } });
+    EXPECT_EQ(waitFor(1).outcome, outcome::cancelled);
+    EXPECT_TRUE(eventually([&] { return requests() == 2; }));
+    EXPECT_EQ(headerOf(request(1), "Acaciaslip-Request"), "n1-1");
+    m_done = true;
+}
+
+TEST_F(attempt_sender_test, Cancel_AnyTime_LeavesTheTruth)
+{
+    serve([](const std::string& request) -> std::string {
+        if (request.find("POST /acaciaslip/cancel") == 0)
+            return "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+        return answerWith(request, headerOf(request, "Acaciaslip-Request"));
+    });
+    startSender();
+    std::vector<std::string> notRun;
+    for (std::uint64_t id = 1; id <= 200; ++id) {
+        m_sender->send(makeAttempt(id));
+        std::this_thread::sleep_for(std::chrono::microseconds { id * 2 });
+        m_sender->cancel({ state::attempt_id { id } });
+        const auto finished = waitFor(id);
+        const auto name = "n1-" + std::to_string(id);
+        if (finished.outcome == outcome::answered)
+            ASSERT_EQ(static_cast<const server_answer&>(*finished.answer).body, name);
+        else if (state::verdictOf(finished.outcome) == state::verdict::not_run)
+            notRun.push_back(name);
+        else
+            ASSERT_EQ(finished.outcome, outcome::cancelled);
+    }
+    m_sender.reset();
+    m_server.reset();
+    for (const auto& text : m_requests) {
+        const bool isCancel = text.find("POST /acaciaslip/cancel") == 0;
+        const auto lies = std::count(notRun.begin(), notRun.end(), headerOf(text, "Acaciaslip-Request"));
+        ASSERT_TRUE(isCancel || lies == 0) << text;
+    }
+}
+
+TEST_F(attempt_sender_test, Threads_AllHeldByAStall_LeaveRoomForSecondAttempts)
+{
+    std::atomic<bool> done = false;
+    raw_server stalled([&](raw_socket&) { (void)eventually([&] { return done.load(); }); });
+    serve([](const std::string& request) { return answerWith(request, "ab"); });
+    startSender();
+    m_share = 100;
+    std::vector<coordination::send_attempt> held;
+    for (std::uint64_t id = 1; id <= 7; ++id) {
+        held.push_back(makeAttempt(id));
+        held.back().address = stalled.address();
+        m_sender->send(held.back());
+    }
+    EXPECT_EQ(sendOne(8).outcome, outcome::no_connection) << "a first attempt, at once and not after the stall";
+    m_sender->send(makeAttempt(9, held[0].body));
+    EXPECT_EQ(waitFor(9).outcome, outcome::answered) << "a second attempt";
+    done = true;
+    EXPECT_EQ(waitFor(7).outcome, outcome::cut);
+}
+
+TEST_F(attempt_sender_test, Connections_ShareInUse_IsSaidAtOnce)
+{
+    serve([&](const std::string& request) {
+        (void)eventually([this] { return m_done.load(); });
+        return answerWith(request, "ab");
+    });
+    startSender();
+    m_share = 1;
+    m_sender->send(makeAttempt(1));
+    ASSERT_TRUE(eventually([&] { return requests() == 1; }));
+    EXPECT_EQ(sendOne(2).outcome, outcome::no_connection);
+    m_done = true;
+    EXPECT_EQ(waitFor(1).outcome, outcome::answered);
+}
+
+TEST_F(attempt_sender_test, Pool_IdleTooLong_OpensAnew)
+{
+    serve([](const std::string& request) { return answerWith(request, "ab"); });
+    connection_pool pool(4s);
+    const auto now = monotonicNow();
+    const auto use = [&](state::time_point at) {
+        auto connection = pool.take(m_server->address(), 2, at);
+        const auto result = connection->exchange(
+            static_cast<const exchange&>(*makeAttempt(1).body), "n1-1", [] { return true; }, monotonicNow() + 10s,
+            m_limits);
+        EXPECT_EQ(result.outcome, outcome::answered);
+        pool.giveBack(std::move(connection), result.poisoned, at);
+    };
+    use(now);
+    use(now + 3s);
+    EXPECT_EQ(m_server->connections(), 1);
+    use(now + 8s);
+    EXPECT_EQ(m_server->connections(), 2);
+    EXPECT_EQ(pool.openConnections(), 1U);
+    (void)pool.take("127.0.0.1:" + std::to_string(findFreePort()), 0, now + 20s);
+    EXPECT_EQ(pool.openConnections(), 0U) << "a server that is not used any more keeps no connection";
+}
+
+} // namespace
+} // namespace acaciaslip::transport
--- /dev/null
+++ b/tests/transport/caller_edge_test.cpp
@@ -0,0 +1,429 @@
+#include "transport/caller_edge.hpp"
+
+#include "transport/raw_socket.hpp"
+
+#include <memory>
+#include <mutex>
+#include <random>
+
+#include <gtest/gtest.h>
+
+namespace acaciaslip::transport {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto lookup = "GET /routes HTTP/1.1\r\nHost: h\r\n\r\n";
+
+/// A caller edge whose node is the test: it answers each request by its path and body, or holds it.
+class caller_edge_test : public testing::Test {
+protected:
+    caller_edge_test()
+    {
+        m_settings.callers = "127.0.0.1:" + std::to_string(findFreePort());
+        m_settings.maxBodyBytes = 1000;
+        m_limits.quiet = 50ms;
+        m_limits.linger = 300ms;
+        m_answer.status = 200;
+    }
+
+    void SetUp() override { startEdge(); }
+    void TearDown() override { m_edge->stop(); }
+
+    void startEdge()
+    {
+        const event_sink sink { [this](coordination::event&& happened) { take(std::move(happened)); },
+            [this](coordination::event&& happened) {
+                if (m_isFull)
+                    return false;
+                take(std::move(happened));
+                return true;
+            } };
+        m_edge = std::make_unique<caller_edge>(sink, m_settings, m_limits);
+        ASSERT_TRUE(m_edge->start().ok());
+    }
+
+    void restartEdge()
+    {
+        m_edge->stop();
+        m_settings.callers = "127.0.0.1:" + std::to_string(findFreePort());
+        startEdge();
+    }
+
+    [[nodiscard]] raw_socket connect() const
+    {
+        return raw_socket::connect(std::stoi(m_settings.callers.substr(m_settings.callers.find(':') + 1)));
+    }
+
+    void take(coordination::event&& happened)
+    {
+        if (const auto* gone = std::get_if<coordination::caller_gone>(&happened)) {
+            const std::lock_guard lock(m_mutex);
+            m_gone.push_back(gone->id);
+        }
+        auto* arrived = std::get_if<coordination::request_arrived>(&happened);
+        if (arrived == nullptr)
+            return;
+        const bool held = m_isHolding;
+        {
+            const std::lock_guard lock(m_mutex);
+            m_arrived.push_back(*arrived);
+        }
+        if (!held)
+            answer(*arrived);
+    }
+
+    void answer(const coordination::request_arrived& arrived)
+    {
+        const auto& request = static_cast<const exchange&>(*arrived.body);
+        auto made = std::make_shared<server_answer>();
+        made->status = m_answer.status;
+        made->reason = m_answer.reason;
+        made->headers = m_answer.headers;
+        made->body = m_answer.body;
+        made->declaredLength = m_answer.declaredLength;
+        if (made->body.empty() && made->status == 200)
+            made->body = "answer to " + request.method + ' ' + request.target + ' ' + request.body + ";";
+        m_edge->finish(coordination::answer_caller { arrived.id, "s1", 1, m_closes, std::move(made) });
+    }
+
+    [[nodiscard]] std::size_t arrivals()
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_arrived.size();
+    }
+
+    [[nodiscard]] coordination::request_arrived arrival(std::size_t index)
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_arrived.at(index);
+    }
+
+    /// Sends bytes that end the connection. \return all that came back
+    [[nodiscard]] std::string exchangeWhole(const std::string& bytes) const
+    {
+        auto caller = connect();
+        caller.send(bytes);
+        return caller.readToEnd();
+    }
+
+    state::node_settings m_settings;
+    edge_limits m_limits;
+    std::unique_ptr<caller_edge> m_edge;
+    std::atomic<bool> m_isFull = false;
+    std::atomic<bool> m_isHolding = false;
+    bool m_closes = false;
+    std::mutex m_mutex;
+    std::vector<coordination::request_arrived> m_arrived;
+    std::vector<state::request_id> m_gone;
+    server_answer m_answer; ///< copied into each answer; an empty body is replaced by an echo of the request
+};
+
+TEST_F(caller_edge_test, Requests_Pipelined_AreAnsweredInOrder)
+{
+    auto caller = connect();
+    caller.send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nxyGET /b HTTP/1.1\r\nHost: h\r\n\r\n"
+                "PUT /c?d=%20 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nuv\r\n1\r\nw\r\n0\r\n\r\n");
+    const auto text = caller.readUntil(";", 3);
+    const auto first = text.find("answer to POST /a xy;");
+    const auto second = text.find("answer to GET /b ;");
+    const auto third = text.find("answer to PUT /c?d=%20 uvw;");
+    ASSERT_NE(third, std::string::npos) << text;
+    EXPECT_LT(first, second);
+    EXPECT_LT(second, third);
+    EXPECT_EQ(headerOf(text, "Acaciaslip-Verdict"), "ran");
+    EXPECT_EQ(headerOf(text, "Acaciaslip-Server"), "s1");
+}
+
+TEST_F(caller_edge_test, Request_GetWithBody_IsReadWholeAndNeverAsNextRequest)
+{
+    auto caller = connect();
+    const std::string body = "GET /evil HTTP/1.1\r\nHost: h\r\n\r\n";
+    caller.send("GET /a HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body
+        + "GET /b HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    const auto text = caller.readToEnd();
+    EXPECT_NE(text.find("answer to GET /b"), std::string::npos) << text;
+    EXPECT_EQ(arrivals(), 2U);
+}
+
+TEST_F(caller_edge_test, Request_AmbiguousFraming_IsRefusedAndNothingBehindItRuns)
+{
+    const std::string next = "GET /next HTTP/1.1\r\nHost: h\r\n\r\n";
+    for (const std::string head :
+        { "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n",
+            "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\nContent-Length: 0\r\n\r\n",
+            "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding : chunked\r\n\r\n",
+            "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", "\r\n\r\n" }) {
+        const auto text = exchangeWhole(head + next);
+        EXPECT_EQ(text.substr(0, 12), "HTTP/1.1 400") << head;
+        EXPECT_EQ(headerOf(text, "Acaciaslip-Verdict"), "not_run") << head;
+        EXPECT_EQ(headerOf(text, "Connection"), "close") << head;
+        EXPECT_EQ(text.find("HTTP/1.1", 5), std::string::npos) << head;
+    }
+    EXPECT_EQ(arrivals(), 0U);
+}
+
+TEST_F(caller_edge_test, Request_OverLimits_IsRefusedByItsOwnStatus)
+{
+    const std::string start = "POST / HTTP/1.1\r\nHost: h\r\n";
+    EXPECT_EQ(exchangeWhole(start + "Content-Length: 1001\r\n\r\n").substr(9, 3), "413");
+    EXPECT_EQ(exchangeWhole(start + "Transfer-Encoding: chunked\r\n\r\n3e9\r\n").substr(9, 3), "413");
+    EXPECT_EQ(exchangeWhole(start + "A: " + std::string(100000, 'a')).substr(9, 3), "431");
+    EXPECT_EQ(arrivals(), 0U);
+}
+
+TEST_F(caller_edge_test, Headers_RepeatedPercentSignsAndOwn_ReachTheServerAsTheyAre)
+{
+    (void)exchangeWhole(
+        "GET /a%2Fb HTTP/1.1\r\nHost: h:80\r\nVia: one\r\nVia: two\r\nX: a%0d%0ab\r\nRange: what=1\r\n"
+        "Accept-Encoding: gzip\r\nConnection: close, Secret\r\nSecret: s\r\nAcaciaslip-Request: forged\r\n"
+        "Request-Timeout-Ms: 70\r\nIdempotency-Key: k\r\n\r\n");
+    ASSERT_EQ(arrivals(), 1U);
+    const auto arrived = arrival(0);
+    const auto& request = static_cast<const exchange&>(*arrived.body);
+    EXPECT_EQ(arrived.host, "h");
+    EXPECT_EQ(arrived.path, "/a/b");
+    EXPECT_EQ(arrived.idempotencyKey, "k");
+    EXPECT_EQ(arrived.timeout, 70ms);
+    EXPECT_EQ(request.target, "/a%2Fb");
+    EXPECT_EQ(request.headers.count("Via"), 2U);
+    EXPECT_EQ(request.headers.find("X")->second, "a%0d%0ab");
+    EXPECT_EQ(request.headers.find("Range")->second, "what=1");
+    EXPECT_EQ(request.headers.count("Accept-Encoding"), 1U);
+    EXPECT_EQ(request.headers.count("Secret") + request.headers.count("Connection"), 0U);
+    EXPECT_EQ(request.headers.count("Acaciaslip-Request"), 0U);
+}
+
+TEST_F(caller_edge_test, Body_MultipartAndCompressed_IsNotTouched)
+{
+    const std::string body = "--x\r\nContent-Disposition: form-data; name=a\r\n\r\n1\r\n--x--\r\n";
+    (void)exchangeWhole(
+        "POST / HTTP/1.1\r\nHost: h\r\nContent-Type: multipart/form-data; boundary=x\r\nContent-Encoding: gzip\r\n"
+        "Connection: close\r\nContent-Length: "
+        + std::to_string(body.size()) + "\r\n\r\n" + body);
+    ASSERT_EQ(arrivals(), 1U);
+    EXPECT_EQ(static_cast<const exchange&>(*arrival(0).body).body, body);
+}
+
+TEST_F(caller_edge_test, Answer_HeadersStatusAndBody_PassWhole)
+{
+    m_answer.status = 202;
+    m_answer.reason = "Taken";
+    m_answer.headers = { { "Set-Cookie", "a=%41" }, { "Set-Cookie", "b=2" } };
+    m_answer.body = "body";
+    const auto text
+        = exchangeWhole("GET / HTTP/1.1\r\nHost: h\r\nAccept-Encoding: gzip, br\r\nConnection: close\r\n\r\n");
+    EXPECT_EQ(text,
+        "HTTP/1.1 202 Taken\r\nSet-Cookie: a=%41\r\nSet-Cookie: b=2\r\nAcaciaslip-Verdict: ran\r\nAcaciaslip-Server: "
+        "s1\r\nAcaciaslip-Attempts: 1\r\nContent-Length: 4\r\nConnection: close\r\n\r\nbody");
+}
+
+TEST_F(caller_edge_test, Answer_WithoutBody_IsFramedByItsStatus)
+{
+    auto caller = connect();
+    m_answer.status = 204;
+    caller.send(lookup);
+    EXPECT_EQ(headerOf(caller.readUntil("\r\n\r\n"), "Content-Length"), "");
+    m_answer.status = 304;
+    caller.send(lookup);
+    EXPECT_EQ(headerOf(caller.readUntil("\r\n\r\n"), "Content-Length"), "");
+    m_answer.status = 200;
+    m_answer.declaredLength = 77;
+    caller.send("HEAD / HTTP/1.1\r\nHost: h\r\n\r\n");
+    EXPECT_EQ(headerOf(caller.readUntil("\r\n\r\n"), "Content-Length"), "77");
+    caller.send(lookup);
+    EXPECT_NE(caller.readUntil(";").find("answer to GET"), std::string::npos);
+}
+
+TEST_F(caller_edge_test, Expect_BodyNotSentYet_IsToldToGoOn)
+{
+    auto caller = connect();
+    caller.send("POST / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n");
+    EXPECT_EQ(caller.readUntil("\r\n\r\n"), "HTTP/1.1 100 Continue\r\n\r\n");
+    caller.send("ab");
+    EXPECT_NE(caller.readUntil(";").find("answer to POST / ab;"), std::string::npos);
+}
+
+TEST_F(caller_edge_test, LargeBodies_BothWays_PassWhole)
+{
+    m_settings.maxBodyBytes = 8ULL * 1024 * 1024;
+    restartEdge();
+    const std::string body(m_settings.maxBodyBytes, 'x');
+    auto caller = connect();
+    caller.send("PUT / HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+    const auto text = caller.readUntil(";");
+    EXPECT_EQ(text.size() - text.find("answer to PUT / "), 16 + body.size() + 1);
+}
+
+TEST_F(caller_edge_test, SlowSenders_ManyMoreThanThreads_AreEndedAndHarmNobody)
+{
+    m_limits.request = 500ms;
+    restartEdge();
+    std::vector<raw_socket> slow;
+    for (int index = 0; index < 300; ++index) {
+        slow.push_back(connect());
+        slow.back().send(
+            index % 2 == 0 ? "GET / HTTP/1.1\r\nHo" : "PUT / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nab");
+    }
+    auto quick = connect();
+    const auto before = std::chrono::steady_clock::now();
+    quick.send(lookup);
+    EXPECT_NE(quick.readUntil(";").find("answer to GET"), std::string::npos);
+    EXPECT_LT(std::chrono::steady_clock::now() - before, 5s);
+    for (int dripped = 0; dripped < 3; ++dripped) {
+        std::this_thread::sleep_for(150ms);
+        for (const auto& caller : slow)
+            caller.send("x");
+    }
+    for (auto& caller : slow) {
+        const auto text = caller.readToEnd();
+        ASSERT_EQ(text.substr(0, 12), "HTTP/1.1 408");
+        ASSERT_EQ(headerOf(text, "Acaciaslip-Verdict"), "not_run");
+    }
+}
+
+TEST_F(caller_edge_test, IdleConnections_ManyMoreThanThreads_AreAllServed)
+{
+    constexpr std::size_t connections = 1000;
+    std::vector<raw_socket> callers;
+    callers.reserve(connections);
+    while (callers.size() < connections)
+        callers.push_back(connect());
+    for (auto& caller : callers)
+        caller.send(lookup);
+    for (auto& caller : callers)
+        ASSERT_NE(caller.readUntil(";").find("answer to GET"), std::string::npos);
+}
+
+TEST_F(caller_edge_test, Connections_OverLimit_AreRefusedNotRun)
+{
+    m_limits.connections = 2;
+    restartEdge();
+    auto first = connect();
+    auto second = connect();
+    ASSERT_TRUE(eventually([&] { return m_edge->openConnections() == 2; }));
+    const auto text = exchangeWhole(lookup);
+    EXPECT_EQ(text.substr(0, 12), "HTTP/1.1 503");
+    EXPECT_EQ(headerOf(text, "Acaciaslip-Verdict"), "not_run");
+    first.send(lookup);
+    EXPECT_NE(first.readUntil(";").find("answer to GET"), std::string::npos);
+}
+
+TEST_F(caller_edge_test, Request_NoRoomAtTheNode_IsRefusedNotRun)
+{
+    m_isFull = true;
+    const auto text = exchangeWhole(lookup);
+    EXPECT_EQ(text.substr(0, 12), "HTTP/1.1 503");
+    EXPECT_EQ(headerOf(text, "Acaciaslip-Verdict"), "not_run");
+    EXPECT_EQ(headerOf(text, "Retry-After"), "1");
+}
+
+TEST_F(caller_edge_test, Caller_ClosedWhileWaiting_IsGone)
+{
+    m_isHolding = true;
+    {
+        auto caller = connect();
+        caller.send(lookup);
+        ASSERT_TRUE(eventually([&] { return arrivals() == 1; }));
+    }
+    EXPECT_TRUE(eventually([&] {
+        const std::lock_guard lock(m_mutex);
+        return m_gone.size() == 1 && m_gone[0] == m_arrived[0].id;
+    }));
+    answer(arrival(0));
+}
+
+TEST_F(caller_edge_test, Caller_ResetWhileWaiting_IsGone)
+{
+    m_isHolding = true;
+    auto caller = connect();
+    caller.send(lookup);
+    ASSERT_TRUE(eventually([&] { return arrivals() == 1; }));
+    caller.reset();
+    EXPECT_TRUE(eventually([&] {
+        const std::lock_guard lock(m_mutex);
+        return m_gone.size() == 1;
+    }));
+}
+
+TEST_F(caller_edge_test, Caller_HalfClosedWhileWaiting_GetsItsAnswer)
+{
+    m_isHolding = true;
+    auto caller = connect();
+    caller.send(lookup);
+    caller.endOutput();
+    ASSERT_TRUE(eventually([&] { return arrivals() == 1; }));
+    std::this_thread::sleep_for(100ms);
+    answer(arrival(0));
+    EXPECT_NE(caller.readToEnd().find("answer to GET /routes ;"), std::string::npos);
+    const std::lock_guard lock(m_mutex);
+    EXPECT_TRUE(m_gone.empty());
+}
+
+TEST_F(caller_edge_test, Request_EndsHalfWay_IsRefusedNotRun)
+{
+    auto caller = connect();
+    caller.send("PUT / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nab");
+    caller.endOutput();
+    const auto text = caller.readToEnd();
+    EXPECT_EQ(text.substr(0, 12), "HTTP/1.1 400");
+    EXPECT_EQ(headerOf(text, "Acaciaslip-Verdict"), "not_run");
+    EXPECT_EQ(arrivals(), 0U);
+}
+
+TEST_F(caller_edge_test, Answer_WhileLeaving_ClosesAfterTheWholeAnswer)
+{
+    m_closes = true;
+    const auto text = exchangeWhole(lookup);
+    EXPECT_EQ(headerOf(text, "Connection"), "close");
+    EXPECT_NE(text.find("answer to GET /routes ;"), std::string::npos);
+}
+
+TEST_F(caller_edge_test, Stop_RequestsInProgressHalfSentAndNew_AreAllAnswered)
+{
+    m_isHolding = true;
+    auto waiting = connect();
+    waiting.send(lookup);
+    ASSERT_TRUE(eventually([&] { return arrivals() == 1; }));
+    auto half = connect();
+    half.send("PUT / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nab");
+    auto idle = connect();
+    ASSERT_TRUE(eventually([&] { return m_edge->openConnections() == 3; }));
+    std::thread stopping([&] { m_edge->stop(); });
+    auto fresh = connect();
+    fresh.send(lookup);
+    ASSERT_TRUE(eventually([&] { return arrivals() == 2; }));
+    answer(arrival(1));
+    answer(arrival(0));
+    const auto refused = half.readToEnd();
+    EXPECT_EQ(refused.substr(0, 12), "HTTP/1.1 503");
+    EXPECT_EQ(headerOf(refused, "Acaciaslip-Verdict"), "not_run");
+    EXPECT_NE(waiting.readToEnd().find("answer to GET /routes ;"), std::string::npos);
+    EXPECT_NE(fresh.readToEnd().find("answer to GET /routes ;"), std::string::npos);
+    EXPECT_EQ(idle.readToEnd(), "");
+    stopping.join();
+    EXPECT_EQ(m_edge->openConnections(), 0U);
+}
+
+/// Bytes that are no request at all: each connection gets an answer or an end, and the edge lives on.
+TEST_F(caller_edge_test, RandomBytes_ManyConnections_HarmNobody)
+{
+    std::mt19937 random(5);
+    const std::string pool { 'G', 'E', 'T', ' ', '/', 'H', 'P', '1', '.', '\r', '\n', ':', '%', '0', '\0', 'a',
+        '\xff' };
+    for (int round = 0; round < 200; ++round) {
+        std::string bytes;
+        for (auto size = random() % 300; size > 0; --size)
+            bytes += pool[random() % pool.size()];
+        auto caller = connect();
+        caller.send(bytes + "\r\n\r\n");
+        caller.endOutput();
+        const auto text = caller.readToEnd();
+        ASSERT_EQ(text.find("[nothing came]"), std::string::npos) << bytes;
+    }
+    EXPECT_NE(exchangeWhole("GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n").find("answer to GET"),
+        std::string::npos);
+}
+
+} // namespace
+} // namespace acaciaslip::transport
