Pick by expected time, own slots first

Cause: two choices on summed stale counts herd: what peers said 50 ms ago is wrong for requests that take 5 ms. Change: slots are dealt to the entry hosts of their data centre; a node fills its own before it borrows, counts itself exactly and its peers by their moving average, and weighs by the latency it has seen (falling back to the usual one when idle, and at least the age of the oldest request without an answer).

--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -1,5 +1,6 @@
 #include "coordination/membership.hpp"
 
+#include "coordination/load_estimate.hpp"
 #include "coordination/node.hpp"
 #include "coordination/server_tracking.hpp"
 
--- a/src/coordination/picking.cpp
+++ b/src/coordination/picking.cpp
@@ -1,28 +1,67 @@
 #include "coordination/picking.hpp"
 
+#include "coordination/load_estimate.hpp"
 #include "coordination/node.hpp"
 
 #include <algorithm>
-#include <vector>
 
 namespace acaciaslip::coordination {
 
 namespace {
 
-std::uint32_t inFlightOnAllNodes(const state::server_record& server)
+/// Requests that a warm server may have from all nodes, per slot; the rest waits at the nodes.
+constexpr double loadPerSlotLimit = 2;
+constexpr state::duration unknownLatency = std::chrono::milliseconds { 1 };
+/// Scores within this share of each other are a tie, which chance breaks.
+constexpr double tieShare = 0.001;
+
+std::uint32_t slotsOf(const node& self, const state::server_record& server)
+{
+    return self.fleet.services[server.service].settings.slots;
+}
+
+bool hasFreePermit(const state::server_record& server)
 {
-    std::uint32_t total = server.ownInFlight;
-    for (const auto& [peer, load] : server.peerLoads)
-        total += load.inFlight;
-    return total;
+    return server.ownInFlight < server.load.slotPermits;
 }
 
 bool hasRoom(const node& self, const state::server_record& server)
 {
     if (server.condition == state::server_condition::cold)
-        return inFlightOnAllNodes(server) < server.limit;
-    const auto& settings = self.fleet.services[server.service].settings;
-    return inFlightOnAllNodes(server) < settings.slots;
+        return estimateInFlight(server.load) < server.limit;
+    return hasFreePermit(server) || estimateInFlight(server.load) < loadPerSlotLimit * slotsOf(self, server);
+}
+
+bool mayTake(const node& self, const state::request& request, state::server_index index)
+{
+    const auto& server = self.fleet.servers[index];
+    return isCandidate(server) && hasRoom(self, server)
+        && std::find(request.tried.begin(), request.tried.end(), index) == request.tried.end();
+}
+
+/// The mean latency of a service's servers that have answered.
+state::duration usualLatency(const node& self, const state::service_record& service)
+{
+    state::duration total {};
+    int answered = 0;
+    for (const auto index : service.members) {
+        const auto latency = self.fleet.servers[index].load.latency;
+        total += latency;
+        answered += latency != state::duration::zero() ? 1 : 0;
+    }
+    return answered > 0 ? total / answered : unknownLatency;
+}
+
+/// Expected time of a request sent now, up to a factor: latency times the share of slots that it finds taken.
+double score(const node& self, const state::server_record& server, state::duration usual, state::time_point now)
+{
+    const double permits = server.load.slotPermits;
+    const double own = server.ownInFlight;
+    const double spare = std::clamp(permits - own, 0.0, 1.0);
+    const double borrowed = std::max(0.0, own - permits);
+    const double load = std::max(0.0, estimateInFlight(server.load) - spare + borrowed);
+    const auto latency = static_cast<double>(expectLatency(server.load, usual, now).count());
+    return latency * (1 + load / slotsOf(self, server));
 }
 
 } // namespace
@@ -34,22 +73,25 @@
 }
 
 std::optional<state::server_index> pickServer(
-    const node& self, const state::request& request, state::time_point /*now*/, random_generator& random)
-{
-    const auto& tried = request.tried;
-    std::vector<state::server_index> candidates;
-    for (const auto index : self.fleet.services[request.service].members) {
-        const auto& server = self.fleet.servers[index];
-        if (isCandidate(server) && hasRoom(self, server) && std::find(tried.begin(), tried.end(), index) == tried.end())
-            candidates.push_back(index);
+    const node& self, const state::request& request, state::time_point now, random_generator& random)
+{
+    const auto& service = self.fleet.services[request.service];
+    const auto usual = usualLatency(self, service);
+    std::optional<state::server_index> best;
+    double bestScore = 0;
+    std::uint32_t ties = 0;
+    for (const auto index : service.members) {
+        if (!mayTake(self, request, index))
+            continue;
+        const double found = score(self, self.fleet.servers[index], usual, now);
+        const bool tied = best && std::abs(found - bestScore) <= tieShare * bestScore;
+        ties = tied ? ties + 1 : 1;
+        if (tied ? random(ties) == 0 : !best || found < bestScore) {
+            best = index;
+            bestScore = found;
+        }
     }
-    if (candidates.empty())
-        return std::nullopt;
-    const auto size = static_cast<std::uint32_t>(candidates.size());
-    const auto first = candidates[random(size)];
-    const auto second = candidates[random(size)];
-    const auto load = [&](state::server_index index) { return inFlightOnAllNodes(self.fleet.servers[index]); };
-    return load(second) < load(first) ? second : first;
+    return best;
 }
 
 } // namespace acaciaslip::coordination
--- a/src/coordination/server_tracking.cpp
+++ b/src/coordination/server_tracking.cpp
@@ -1,5 +1,6 @@
 #include "coordination/server_tracking.hpp"
 
+#include "coordination/load_estimate.hpp"
 #include "coordination/node.hpp"
 
 namespace acaciaslip::coordination {
@@ -8,15 +9,6 @@
 
 constexpr std::uint32_t goodAnswersToWarm = 8;
 constexpr std::uint32_t badAnswersToCollapse = 3;
-constexpr int latencyWeight = 8; ///< the newest answer's weight in the average is one in this many
-
-void learnLatency(state::server_record& server, state::duration latency)
-{
-    if (server.latency == state::duration::zero())
-        server.latency = latency;
-    else
-        server.latency += (latency - server.latency) / latencyWeight;
-}
 
 void learnGood(state::server_record& server, state::time_point now)
 {
@@ -49,9 +41,11 @@
     server.goodAnswers = 0;
 }
 
-void noteAttemptStarted(node& self, state::server_index index, state::time_point /*now*/)
+void noteAttemptStarted(node& self, state::server_index index, state::time_point now)
 {
-    ++self.fleet.servers[index].ownInFlight;
+    auto& server = self.fleet.servers[index];
+    ++server.ownInFlight;
+    addRunning(server.load, now);
 }
 
 void noteAttemptFinished(node& self, state::server_index index, const attempt_finished& finished,
@@ -59,9 +53,10 @@
 {
     auto& server = self.fleet.servers[index];
     --server.ownInFlight;
+    removeRunning(server.load, startedAt);
     ++self.counters.attemptsByOutcome[finished.outcome];
     if (finished.outcome == state::attempt_outcome::answered) {
-        learnLatency(server, now - startedAt);
+        learnLatency(server.load, now - startedAt, now);
         learnGood(server, now);
     } else if (finished.outcome != state::attempt_outcome::cancelled
         && finished.outcome != state::attempt_outcome::no_connection) {
@@ -93,15 +88,6 @@
     }
 }
 
-void notePeerLoads(node& self, const state::peer_message& message, state::time_point now)
-{
-    for (const auto& load : message.loads) {
-        const auto found = self.fleet.serverIndexes.find(load.server);
-        if (found != self.fleet.serverIndexes.end())
-            self.fleet.servers[found->second].peerLoads[message.from] = { load.inFlight, now };
-    }
-}
-
 void notePeerConditions(node& self, const state::peer_message& message, state::time_point now, effect_list& /*effects*/)
 {
     for (const auto& change : message.conditions) {
--- a/src/coordination/server_tracking.hpp
+++ b/src/coordination/server_tracking.hpp
@@ -26,9 +26,6 @@
 /// Learns from a probe.
 void noteProbeFinished(node& self, const probe_finished& finished, state::time_point now, effect_list& effects);
 
-/// Takes what a peer says it has in flight.
-void notePeerLoads(node& self, const state::peer_message& message, state::time_point now);
-
 /// Takes condition changes that a peer has seen.
 void notePeerConditions(node& self, const state::peer_message& message, state::time_point now, effect_list& effects);
 
--- a/src/coordination/settings_spread.cpp
+++ b/src/coordination/settings_spread.cpp
@@ -4,6 +4,7 @@
 #include "coordination/membership.hpp"
 #include "coordination/node.hpp"
 #include "coordination/request_handling.hpp"
+#include "coordination/slot_permits.hpp"
 
 #include <string_view>
 
@@ -44,6 +45,7 @@
     record.refusedBecause.clear();
     followIndex(self, settings);
     applySettings(self, settings, now);
+    dealSlotPermits(self, settings);
     applyEntryHosts(self, settings, now);
     if (self.phase == node_phase::starting && !self.fleet.services.empty()) {
         self.phase = node_phase::serving;
--- /dev/null
+++ b/src/coordination/slot_permits.cpp
@@ -0,0 +1,80 @@
+#include "coordination/slot_permits.hpp"
+
+#include "coordination/node.hpp"
+
+#include <algorithm>
+#include <map>
+#include <vector>
+
+#include <xxhash.h>
+
+namespace acaciaslip::coordination {
+
+namespace {
+
+using host_list = std::vector<state::host_id>;
+
+std::map<state::data_centre_id, host_list> listLiveEntryHosts(const state::fleet_settings& settings)
+{
+    std::map<state::data_centre_id, host_list> hosts;
+    for (const auto& host : settings.hosts) {
+        if (host.kind == state::host_kind::entry && host.listing == state::host_listing::live)
+            hosts[host.dataCentre].push_back(host.id);
+    }
+    for (auto& [dataCentre, ids] : hosts)
+        std::sort(ids.begin(), ids.end());
+    return hosts;
+}
+
+/// Each service starts its deal at another host, so that no host is always the one with a slot more.
+std::size_t firstHost(const state::service_name& service)
+{
+    const auto name = service.team + '/' + service.name;
+    return XXH3_64bits(name.data(), name.size());
+}
+
+/// Deals slot by slot over the servers, so that a host's slots lie on different servers.
+void deal(state::fleet& fleet, const state::service_record& service, const std::vector<state::server_index>& servers,
+    const host_list& hosts, const state::host_id& self)
+{
+    std::size_t next = firstHost(service.settings.name);
+    for (std::uint32_t slot = 0; slot < service.settings.slots; ++slot) {
+        for (const auto index : servers) {
+            if (hosts[next % hosts.size()] == self)
+                ++fleet.servers[index].load.slotPermits;
+            ++next;
+        }
+    }
+}
+
+} // namespace
+
+void dealSlotPermits(node& self, const state::fleet_settings& settings)
+{
+    const auto hostsByDataCentre = listLiveEntryHosts(settings);
+    host_list allHosts;
+    for (const auto& [dataCentre, hosts] : hostsByDataCentre)
+        allHosts.insert(allHosts.end(), hosts.begin(), hosts.end());
+    for (auto& server : self.fleet.servers)
+        server.load.slotPermits = 0;
+    if (allHosts.empty())
+        return;
+    for (const auto& service : self.fleet.services) {
+        std::map<state::data_centre_id, std::vector<state::server_index>> servers;
+        for (const auto index : service.members) {
+            const auto& server = self.fleet.servers[index];
+            if (server.listing == state::host_listing::live && !server.dataCentreOut)
+                servers[server.dataCentre].push_back(index);
+        }
+        for (auto& [dataCentre, indexes] : servers) {
+            std::sort(indexes.begin(), indexes.end(), [&](state::server_index left, state::server_index right) {
+                return self.fleet.servers[left].id < self.fleet.servers[right].id;
+            });
+            const auto hosts = hostsByDataCentre.find(dataCentre);
+            deal(self.fleet, service, indexes, hosts != hostsByDataCentre.end() ? hosts->second : allHosts,
+                self.settings.id);
+        }
+    }
+}
+
+} // namespace acaciaslip::coordination
--- a/src/protocol/dump.cpp
+++ b/src/protocol/dump.cpp
@@ -16,7 +16,7 @@
         { "reason", server.conditionReason },
         { "condition_age_ms", state::toMilliseconds(now - server.conditionSince) },
         { "in_flight", server.ownInFlight },
-        { "latency_ms", state::toMilliseconds(server.latency) },
+        { "latency_ms", state::toMilliseconds(server.load.latency) },
         { "probes_spent", server.probesSpent },
     };
 }
--- a/src/state/server_record.hpp
+++ b/src/state/server_record.hpp
@@ -3,14 +3,13 @@
 #include "state/enum_names.hpp"
 #include "state/fleet_settings.hpp"
 #include "state/identifiers.hpp"
+#include "state/load_state.hpp"
 #include "state/time.hpp"
 
 #include <array>
 #include <optional>
 #include <string>
 
-#include <absl/container/flat_hash_map.h>
-
 namespace acaciaslip::state {
 
 /// How much a server is trusted with.
@@ -26,12 +25,6 @@
     { server_condition::ejected, "ejected" },
 } };
 
-/// What a peer last said it has in flight on a server.
-struct peer_load {
-    std::uint32_t inFlight = 0;
-    time_point heardAt;
-};
-
 /// What a server's own endpoints last said; lags and may mislead.
 struct server_report {
     bool draining = false;
@@ -59,8 +52,7 @@
     std::uint32_t badAnswers = 0; ///< in a row
 
     std::uint32_t ownInFlight = 0; ///< exact
-    absl::flat_hash_map<host_id, peer_load> peerLoads;
-    duration latency {}; ///< moving average of whole answers
+    load_state load;
     std::optional<time_point> lastAnswerAt;
     std::optional<server_report> report;
 
