--- /dev/null
+++ b/tests/coordination/slot_permits_test.cpp
@@ -0,0 +1,110 @@
+#include "coordination/slot_permits.hpp"
+
+#include "coordination/fleet_update.hpp"
+#include "coordination/node.hpp"
+
+#include <algorithm>
+#include <map>
+#include <numeric>
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+namespace acaciaslip::coordination {
+namespace {
+
+constexpr std::uint32_t slots = 4;
+
+class slot_permits_test : public testing::Test {
+protected:
+    slot_permits_test()
+    {
+        state::service_settings service;
+        service.name = { "kierdicht", "routes" };
+        service.slots = slots;
+        m_settings.services.push_back(service);
+    }
+
+    void addHosts(state::host_kind kind, const std::string& dataCentre, int count)
+    {
+        for (int number = 0; number < count; ++number) {
+            state::host_record host;
+            host.id = fmt::format("{}-{}-{}", state::findName(state::hostKindNames, kind), dataCentre, number);
+            host.dataCentre = dataCentre;
+            host.kind = kind;
+            host.service = { "kierdicht", "routes" };
+            m_settings.hosts.push_back(host);
+        }
+    }
+
+    /// The permits that every listed entry host takes for itself, by server and host.
+    std::map<state::host_id, std::vector<std::uint32_t>> dealAll()
+    {
+        std::map<state::host_id, std::vector<std::uint32_t>> permits;
+        for (const auto& host : m_settings.hosts) {
+            if (host.kind != state::host_kind::entry)
+                continue;
+            state::node_settings own;
+            own.id = host.id;
+            own.dataCentre = host.dataCentre;
+            auto node = makeNode(own, 1, {});
+            applySettings(node, m_settings, state::time_point {});
+            dealSlotPermits(node, m_settings);
+            for (const auto& server : node.fleet.servers)
+                permits[server.id].push_back(server.load.slotPermits);
+        }
+        return permits;
+    }
+
+    state::fleet_settings m_settings;
+};
+
+TEST_F(slot_permits_test, AllHosts_OneList_DealEverySlotOnce)
+{
+    for (const auto* dataCentre : { "dc-a", "dc-b", "dc-c" }) {
+        addHosts(state::host_kind::entry, dataCentre, 5);
+        addHosts(state::host_kind::server, dataCentre, 3);
+    }
+    for (const auto& [server, permits] : dealAll())
+        EXPECT_EQ(std::accumulate(permits.begin(), permits.end(), 0U), slots) << server;
+}
+
+TEST_F(slot_permits_test, Hosts_OfOneDataCentre_DifferByOneSlotAtMost)
+{
+    addHosts(state::host_kind::entry, "dc-a", 5);
+    addHosts(state::host_kind::server, "dc-a", 3);
+    std::vector<std::uint32_t> perHost(5, 0);
+    for (const auto& [server, permits] : dealAll()) {
+        for (std::size_t host = 0; host < permits.size(); ++host)
+            perHost[host] += permits[host];
+    }
+    const auto [least, most] = std::minmax_element(perHost.begin(), perHost.end());
+    EXPECT_LE(*most - *least, 1U);
+    EXPECT_EQ(std::accumulate(perHost.begin(), perHost.end(), 0U), 3 * slots);
+}
+
+TEST_F(slot_permits_test, DataCentre_WithoutEntryHosts_IsDealtToAll)
+{
+    addHosts(state::host_kind::entry, "dc-a", 2);
+    addHosts(state::host_kind::server, "dc-b", 1);
+    EXPECT_EQ(dealAll()["server-dc-b-0"], (std::vector<std::uint32_t> { 2, 2 }));
+}
+
+TEST_F(slot_permits_test, Host_Leaving_GetsNoSlots)
+{
+    addHosts(state::host_kind::entry, "dc-a", 2);
+    addHosts(state::host_kind::server, "dc-a", 1);
+    m_settings.hosts[0].listing = state::host_listing::leaving;
+    EXPECT_EQ(dealAll()["server-dc-a-0"], (std::vector<std::uint32_t> { 0, 4 }));
+}
+
+TEST_F(slot_permits_test, DataCentre_Out_HasNoSlotsToDeal)
+{
+    addHosts(state::host_kind::entry, "dc-a", 2);
+    addHosts(state::host_kind::server, "dc-a", 1);
+    m_settings.dataCentresOut = { "dc-a" };
+    EXPECT_EQ(dealAll()["server-dc-a-0"], (std::vector<std::uint32_t> { 0, 0 }));
+}
+
+} // namespace
+} // namespace acaciaslip::coordination
