Publish the check for a picture that a pause made suspect

Cause: what holds sends after a pause and what asks peers live in different parts. Change: isPictureSuspect and the state of a refresh; datagrams name servers by a short tag; reads carry the time at which they were asked.

--- a/src/coordination/effects.hpp
+++ b/src/coordination/effects.hpp
@@ -75,6 +75,7 @@
     state::value_source source = state::value_source::platform;
     std::string address;
     state::duration wait {}; ///< how long the other side may hold the read
+    state::time_point askedAt; ///< handed back with the answer
 };
 
 /// Answer another node's request for a value.
--- a/src/coordination/events.hpp
+++ b/src/coordination/events.hpp
@@ -76,12 +76,19 @@
     state::peer_message message;
 };
 
+/// A datagram that is no message of this version: dropped.
+struct datagram_refused {
+    std::uint32_t bytes = 0; ///< of its payload
+};
+
 /// A published value was read, or found unchanged.
 struct value_received {
     state::value_key key;
     state::revision number = 0; ///< 0: not changed, or no such key
     std::string body;
     state::value_source source = state::value_source::platform;
+    std::string fromAddress;
+    state::time_point askedAt; ///< when the read was asked for
 };
 
 /// A read of a published value failed.
@@ -89,6 +96,7 @@
     state::value_key key;
     state::value_source source = state::value_source::platform;
     std::string fromAddress;
+    state::time_point askedAt; ///< when the read was asked for
 };
 
 /// Another node asks for a published value over TCP.
@@ -106,6 +114,6 @@
 
 /// Everything that can happen to a node.
 using event = std::variant<request_arrived, caller_gone, attempt_finished, probe_finished, peer_message_received,
-    value_received, value_read_failed, value_requested, tick, drain_requested>;
+    datagram_refused, value_received, value_read_failed, value_requested, tick, drain_requested>;
 
 } // namespace acaciaslip::coordination
--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -15,7 +15,6 @@
     message.from = self.settings.id;
     message.incarnation = self.incarnation;
     message.sequence = self.nextSequence++;
-    message.dataCentre = self.settings.dataCentre;
     message.leaving = self.phase >= node_phase::lame_duck;
     return message;
 }
@@ -24,7 +23,7 @@
 {
     for (const auto& server : self.fleet.servers) {
         if (server.listing != state::host_listing::absent)
-            message.loads.push_back({ server.id, server.ownInFlight });
+            message.loads.push_back({ tagOf(server.id), server.ownInFlight });
     }
 }
 
@@ -56,6 +55,11 @@
     notePeerConditions(self, message, now, effects);
 }
 
+void noteDatagramRefused(node& self, const datagram_refused& /*refused*/)
+{
+    ++self.counters.peerMessagesDropped;
+}
+
 void tellPeers(node& self, state::time_point now, random_generator& /*random*/, effect_list& effects)
 {
     for (auto& [id, peer] : self.peers) {
--- a/src/coordination/membership.hpp
+++ b/src/coordination/membership.hpp
@@ -10,6 +10,9 @@
 /// Takes a datagram of another node, or drops and counts it.
 void notePeerMessage(node& self, const peer_message_received& received, state::time_point now, effect_list& effects);
 
+/// Counts a datagram that could not be read.
+void noteDatagramRefused(node& self, const datagram_refused& refused);
+
 /// Sends the heartbeats that are due.
 void tellPeers(node& self, state::time_point now, random_generator& random, effect_list& effects);
 
--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -1,5 +1,6 @@
 #include "coordination/node.hpp"
 
+#include "coordination/freshness.hpp"
 #include "coordination/membership.hpp"
 #include "coordination/probing.hpp"
 #include "coordination/request_handling.hpp"
@@ -27,6 +28,7 @@
     }
     void operator()(const probe_finished& finished) const { noteProbeFinished(self, finished, now, effects); }
     void operator()(const peer_message_received& received) const { notePeerMessage(self, received, now, effects); }
+    void operator()(const datagram_refused& refused) const { noteDatagramRefused(self, refused); }
     void operator()(const value_received& received) const { noteValue(self, received, now, effects); }
     void operator()(const value_read_failed& failed) const { noteValueReadFailed(self, failed, now, random); }
     void operator()(const value_requested& requested) const { serveValue(self, requested, effects); }
@@ -54,6 +56,7 @@
 
 void handle(node& self, const event& happened, state::time_point now, random_generator& random, effect_list& effects)
 {
+    noteTimePassed(self, now, random, effects);
     self.lastEventAt = now;
     std::visit(dispatch { self, now, random, effects }, happened);
 }
--- a/src/coordination/node.hpp
+++ b/src/coordination/node.hpp
@@ -3,6 +3,8 @@
 #include "coordination/effects.hpp"
 #include "coordination/events.hpp"
 #include "coordination/forward_declarations.hpp"
+#include "coordination/freshness.hpp"
+#include "coordination/server_tags.hpp"
 #include "state/fleet.hpp"
 #include "state/node_settings.hpp"
 #include "state/peer_table.hpp"
@@ -76,10 +78,12 @@
 
     state::value_table values;
     state::fleet fleet;
+    server_tags serverTags;
     state::request_ledger requests;
     state::peer_table peers;
     std::uint64_t nextSequence = 1;
     spread_state spread;
+    freshness_state freshness;
     node_counters counters;
 };
 
--- a/src/coordination/server_tracking.cpp
+++ b/src/coordination/server_tracking.cpp
@@ -96,9 +96,9 @@
 void notePeerLoads(node& self, const state::peer_message& message, state::time_point now)
 {
     for (const auto& load : message.loads) {
-        const auto found = self.fleet.serverIndexes.find(load.server);
-        if (found != self.fleet.serverIndexes.end())
-            self.fleet.servers[found->second].peerLoads[message.from] = { load.inFlight, now };
+        const auto index = findServer(self.serverTags, load.server);
+        if (index)
+            self.fleet.servers[*index].peerLoads[message.from] = { load.inFlight, now };
     }
 }
 
--- a/src/coordination/settings_spread.cpp
+++ b/src/coordination/settings_spread.cpp
@@ -44,6 +44,7 @@
     record.refusedBecause.clear();
     followIndex(self, settings);
     applySettings(self, settings, now);
+    self.serverTags = makeServerTags(self.fleet);
     applyEntryHosts(self, settings, now);
     if (self.phase == node_phase::starting && !self.fleet.services.empty()) {
         self.phase = node_phase::serving;
@@ -112,7 +113,7 @@
         ++self.counters.platformReads;
         const auto& address = self.settings.platform[self.spread.platformChoice % self.settings.platform.size()];
         effects.emplace_back(
-            fetch_value { key, record.inForce.number, state::value_source::platform, address, watchWait });
+            fetch_value { key, record.inForce.number, state::value_source::platform, address, watchWait, now });
     }
 }
 
--- a/src/transport/value_reader.cpp
+++ b/src/transport/value_reader.cpp
@@ -29,7 +29,7 @@
 
 void value_reader::read(coordination::fetch_value wanted)
 {
-    coordination::value_read_failed failed { wanted.key, wanted.source, wanted.address };
+    coordination::value_read_failed failed { wanted.key, wanted.source, wanted.address, wanted.askedAt };
     if (!m_workers.tryPush(std::move(wanted)))
         (void)m_decisions.tryPost(std::move(failed));
 }
@@ -41,7 +41,7 @@
 
 void value_reader::carryOut(const coordination::fetch_value& wanted)
 {
-    const coordination::value_read_failed failed { wanted.key, wanted.source, wanted.address };
+    const coordination::value_read_failed failed { wanted.key, wanted.source, wanted.address, wanted.askedAt };
     const auto parsed = parseAddress(wanted.address);
     if (!parsed.ok())
         return m_decisions.post(failed);
@@ -54,7 +54,7 @@
         = client.Get(fmt::format("/v1/values/{}?after={}&wait_ms={}", wanted.key, wanted.after, wait.count()));
     if (!answer)
         return m_decisions.post(failed);
-    coordination::value_received received { wanted.key, 0, {}, wanted.source };
+    coordination::value_received received { wanted.key, 0, {}, wanted.source, wanted.address, wanted.askedAt };
     if (answer->status == statusOk && absl::SimpleAtoi(answer->get_header_value("Revision"), &received.number))
         received.body = answer->body;
     else if (answer->status != statusNotModified && answer->status != statusNotFound)
