Carry datagrams and values between nodes

Cause: tell_peer, serve_value and reads from peers went nowhere. Change: one UDP socket with a receiving and a sending thread, and a bounded server of values over TCP on the same port; the value reader reads from peers too. Conclusion: values of 1 MiB come whole; random datagrams are dropped and counted; half requests hold nobody for long (transport tests).

--- a/src/transport/daemon.cpp
+++ b/src/transport/daemon.cpp
@@ -6,6 +6,7 @@
 #include "transport/decision_thread.hpp"
 #include "transport/logger.hpp"
 #include "transport/operators_edge.hpp"
+#include "transport/peer_link.hpp"
 #include "transport/server_prober.hpp"
 #include "transport/value_reader.hpp"
 
@@ -46,6 +47,7 @@
         , attempts(decisions, fmt::format("{}.{}", settings.id, incarnation), settings.callerThreads)
         , prober(decisions)
         , reader(decisions)
+        , peers(decisions, settings)
     {
     }
 
@@ -54,9 +56,9 @@
     void carryOut(coordination::answer_caller&& wanted) { callers.finish(std::move(wanted)); }
     void carryOut(const coordination::refuse_caller& wanted) { callers.finish(wanted); }
     void carryOut(coordination::probe_server&& wanted) { prober.probe(std::move(wanted)); }
-    void carryOut(const coordination::tell_peer& /*wanted*/) { }
+    void carryOut(coordination::tell_peer&& wanted) { peers.tell(std::move(wanted)); }
     void carryOut(coordination::fetch_value&& wanted) { reader.read(std::move(wanted)); }
-    void carryOut(const coordination::serve_value& /*wanted*/) { }
+    void carryOut(coordination::serve_value&& served) { peers.serve(std::move(served)); }
     void carryOut(const coordination::log_event& event) { writeLog(event); }
     void carryOut(const coordination::node_stopped& /*stopped*/) { stopped.set_value(); }
 
@@ -67,6 +69,7 @@
     attempt_sender attempts;
     server_prober prober;
     value_reader reader;
+    peer_link peers;
 };
 
 daemon::daemon(const state::node_settings& settings)
@@ -82,6 +85,8 @@
         return status;
     if (auto status = m_parts->operators.start(); !status.ok())
         return status;
+    if (auto status = m_parts->peers.start(); !status.ok())
+        return status;
     m_parts->decisions.start();
     return absl::OkStatus();
 }
@@ -99,6 +104,7 @@
     m_parts->attempts.stop();
     m_parts->prober.stop();
     m_parts->reader.stop();
+    m_parts->peers.stop();
     m_parts->decisions.stop();
 }
 
--- a/src/transport/value_reader.hpp
+++ b/src/transport/value_reader.hpp
@@ -1,12 +1,13 @@
 #pragma once
 
 #include "coordination/effects.hpp"
+#include "transport/address.hpp"
 #include "transport/decision_thread.hpp"
 #include "transport/worker_pool.hpp"
 
 namespace acaciaslip::transport {
 
-/// Threads that read published values from the platform; a watch holds a thread while it waits.
+/// Threads that read published values from the platform and from other nodes; a watch holds a thread while it waits.
 class value_reader {
 public:
     explicit value_reader(decision_thread& decisions);
@@ -19,6 +20,10 @@
 
 private:
     void carryOut(const coordination::fetch_value& wanted);
+    [[nodiscard]] std::optional<coordination::value_received> readPlatform(
+        const coordination::fetch_value& wanted, const address& target) const;
+    [[nodiscard]] std::optional<coordination::value_received> readPeer(
+        const coordination::fetch_value& wanted, const address& target) const;
 
     decision_thread& m_decisions;
     worker_pool<coordination::fetch_value> m_workers;
