--- a/benchmarks/picking_comparison.cpp
+++ b/benchmarks/picking_comparison.cpp
@@ -141,6 +141,7 @@
             auto& made = m_nodes.emplace_back(makeNode(own, 1, {}));
             applySettings(made, settings, instant(0));
             dealSlotPermits(made, settings);
+            made.serverTags = makeServerTags(made.fleet);
             for (auto& server : made.fleet.servers)
                 server.condition = state::server_condition::warm;
         }
@@ -331,7 +332,7 @@
         for (const auto& server : m_nodes[from].fleet.servers) {
             const bool counted = m_tried.disturbed == disturbance::false_counts && server.id == "routes-0";
             message.loads.emplace_back();
-            message.loads.back().server = server.id;
+            message.loads.back().server = tagOf(server.id);
             message.loads.back().inFlight = counted ? 0 : server.ownInFlight;
         }
         for (std::size_t to = 0; to < nodeCount; ++to) {
--- a/src/coordination/load_estimate.cpp
+++ b/src/coordination/load_estimate.cpp
@@ -80,9 +80,9 @@
 void notePeerLoads(node& self, const state::peer_message& message, state::time_point now)
 {
     for (const auto& heard : message.loads) {
-        const auto found = self.fleet.serverIndexes.find(heard.server);
-        if (found != self.fleet.serverIndexes.end())
-            learnPeerLoad(self.fleet.servers[found->second].load, message.from, heard.inFlight, now);
+        const auto index = findServer(self.serverTags, heard.server);
+        if (index)
+            learnPeerLoad(self.fleet.servers[*index].load, message.from, heard.inFlight, now);
     }
 }
 
