Check settings strictly and say every error at once

Cause: the readers took whatever yaml-cpp could convert, stopped at the first error and passed over unknown keys. Change: one small schema layer (a YAML tree with places, issues, typed readers) serves node.yaml and the platform's values. Unknown and double keys, missing ones, wrong types, bounds, templates, parameters, routes, names, addresses and ids are checked; all errors come at once as name:line:column: what is wrong; what to do. A cache remembers how each value was read.

--- a/src/protocol/fleet_settings_reader.cpp
+++ b/src/protocol/fleet_settings_reader.cpp
@@ -1,99 +1,115 @@
 #include "protocol/fleet_settings_reader.hpp"
 
-#include <fmt/format.h>
-#include <yaml-cpp/yaml.h>
+#include <set>
+#include <utility>
 
 namespace acaciaslip::protocol {
 
 namespace {
 
-constexpr std::string_view teamPrefix = "acaciaslip/teams/";
+/// Joins the teams' services and finds those that stand in each other's way.
+struct service_join {
+    const template_table* templates = nullptr; ///< null: none was published
+    issue_list& issues;
+    std::vector<state::service_settings> services;
+    std::set<state::service_name> names;
+    std::map<std::pair<std::string, std::string>, state::service_name> routes; ///< by host and path prefix
 
-YAML::Node substitute(const YAML::Node& value, const YAML::Node& arguments)
+    void add(const std::string& team, const located_value& use)
+    {
+        const auto description = expandTemplate(use, *templates, issues);
+        if (!description)
+            return;
+        const auto issuesBefore = issues.size();
+        auto service = readServiceSettings(team, *description, issues);
+        if (issues.size() != issuesBefore || service.name.name.empty())
+            return;
+        if (!names.insert(service.name).second)
+            report(issues, use,
+                fmt::format("the team '{}' has another service '{}'; rename one", team, service.name.name));
+        const auto [taken, added] = routes.try_emplace({ service.host, service.pathPrefix }, service.name);
+        if (!added)
+            report(issues, use,
+                fmt::format("the route '{}{}' belongs to {}/{}; choose another path_prefix or host", service.host,
+                    service.pathPrefix, taken->second.team, taken->second.name));
+        services.push_back(std::move(service));
+    }
+};
+
+void joinTeams(const checked_values& values, state::fleet_settings& settings, issue_list& issues)
 {
-    const auto text = value.as<std::string>();
-    if (!text.starts_with('$'))
-        return value;
-    return arguments[text.substr(1)];
+    const auto found = values.find(std::string(templatesKey));
+    const bool published = found != values.end();
+    if (published && !found->second->readable)
+        return; // the templates' own error says enough
+    service_join join { published ? &found->second->templates : nullptr, issues, {}, {}, {} };
+    for (const auto& [key, value] : values) {
+        if (value->kind != value_kind::team || value->uses.empty())
+            continue;
+        if (!published) {
+            report(issues, value->uses.front(),
+                fmt::format("the team uses templates, and none are there; give '{}' as well", templatesKey));
+            continue;
+        }
+        for (const auto& use : value->uses)
+            join.add(value->team, use);
+    }
+    settings.services = std::move(join.services);
 }
 
-state::service_settings readService(const std::string& team, const YAML::Node& use, const YAML::Node& templates)
+} // namespace
+
+absl::StatusOr<state::fleet_settings> joinValues(const checked_values& values)
 {
-    const auto body = templates[use["use"].as<std::string>()]["service"];
-    const auto arguments = use["with"];
-    state::service_settings service;
-    service.name.team = team;
-    for (const auto& entry : body) {
-        const auto key = entry.first.as<std::string>();
-        const auto value = substitute(entry.second, arguments);
-        if (key == "name")
-            service.name.name = value.as<std::string>();
-        else if (key == "path_prefix")
-            service.pathPrefix = value.as<std::string>();
-        else if (key == "slots")
-            service.slots = value.as<std::uint32_t>();
-        else if (key == "connections")
-            service.connections = value.as<std::uint32_t>();
-        else if (key == "idempotent")
-            service.idempotent = state::findValue<state::idempotency>(state::idempotencyNames, value.as<std::string>())
-                                     .value_or(state::idempotency::never);
-        else if (key == "timeout_ms")
-            service.timeout = std::chrono::milliseconds { value.as<int>() };
-        else if (key == "hedge")
-            service.hedge = value.as<std::string>() == "on";
+    state::fleet_settings settings;
+    issue_list issues;
+    for (const auto& [key, value] : values) {
+        issues.insert(issues.end(), value->issues.begin(), value->issues.end());
+        if (value->kind == value_kind::index)
+            settings.indexed = value->indexed;
+        if (value->kind == value_kind::data_centres)
+            settings.dataCentresOut = value->dataCentresOut;
+        if (value->kind == value_kind::hosts)
+            settings.hosts = value->hosts;
     }
-    return service;
+    joinTeams(values, settings, issues);
+    if (!issues.empty())
+        return toStatus(std::move(issues));
+    return settings;
 }
 
-void readHosts(const YAML::Node& root, state::fleet_settings& settings)
+absl::StatusOr<state::fleet_settings> readFleetSettings(const std::map<state::value_key, std::string>& bodies)
 {
-    for (const auto& entry : root) {
-        state::host_record host;
-        host.id = entry["id"].as<std::string>();
-        host.address = entry["address"].as<std::string>("");
-        host.dataCentre = entry["data_centre"].as<std::string>();
-        host.kind = state::findValue<state::host_kind>(state::hostKindNames, entry["kind"].as<std::string>())
-                        .value_or(state::host_kind::server);
-        host.listing
-            = state::findValue<state::host_listing>(state::hostListingNames, entry["state"].as<std::string>("live"))
-                  .value_or(state::host_listing::leaving);
-        host.service = { entry["team"].as<std::string>(""), entry["service"].as<std::string>("") };
-        host.peerAddress = entry["peer_address"].as<std::string>("");
-        settings.hosts.push_back(std::move(host));
-    }
+    return fleet_settings_cache().read(bodies);
 }
 
-} // namespace
+void fleet_settings_cache::prepare(const state::value_key& key, const std::string& body)
+{
+    (void)findOrCheck(key, body);
+}
 
-absl::StatusOr<state::fleet_settings> readFleetSettings(const std::map<state::value_key, std::string>& bodies)
+absl::StatusOr<state::fleet_settings> fleet_settings_cache::read(const std::map<state::value_key, std::string>& bodies)
 {
-    state::fleet_settings settings;
-    std::string reading;
-    try {
-        std::map<state::value_key, YAML::Node> roots;
-        for (const auto& [key, body] : bodies) {
-            reading = key;
-            roots[key] = YAML::Load(body);
-        }
-        for (const auto& [key, root] : roots) {
-            reading = key;
-            if (key == "acaciaslip/index")
-                settings.indexed = root["values"].as<std::map<state::value_key, state::revision>>();
-            if (key == "acaciaslip/hosts")
-                readHosts(root, settings);
-            if (key == "acaciaslip/data_centres" && root["out"])
-                settings.dataCentresOut = root["out"].as<std::vector<std::string>>();
-            if (!key.starts_with(teamPrefix) || !roots.contains("acaciaslip/templates"))
-                continue;
-            for (const auto& use : root["services"])
-                settings.services.push_back(
-                    readService(root["team"].as<std::string>(), use, roots["acaciaslip/templates"]));
-        }
-    } catch (const YAML::Exception& error) {
-        return absl::InvalidArgumentError(
-            fmt::format("{}:{}:{}: {}", reading, error.mark.line + 1, error.mark.column + 1, error.msg));
+    checked_values values;
+    for (const auto& [key, body] : bodies)
+        values.emplace(key, findOrCheck(key, body));
+    return joinValues(values);
+}
+
+std::shared_ptr<const checked_value> fleet_settings_cache::findOrCheck(
+    const state::value_key& key, const std::string& body)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto found = m_entries.find(key);
+        if (found != m_entries.end() && found->second.body == body)
+            return found->second.value;
     }
-    return settings;
+    auto value = std::make_shared<checked_value>();
+    checkValue(*value, key, key, body);
+    const std::lock_guard lock(m_mutex);
+    m_entries[key] = { body, value };
+    return value;
 }
 
 } // namespace acaciaslip::protocol
--- /dev/null
+++ b/src/protocol/host_list_reader.cpp
@@ -0,0 +1,87 @@
+#include "protocol/host_list_reader.hpp"
+
+#include <array>
+
+#include <absl/container/flat_hash_map.h>
+
+namespace acaciaslip::protocol {
+
+namespace {
+
+constexpr std::array<std::string_view, 8> hostKeys { "id", "address", "data_centre", "kind", "service", "team", "state",
+    "peer_address" };
+
+constexpr std::array<state::enum_name<state::host_listing>, 2> listedStates { {
+    { state::host_listing::live, "live" },
+    { state::host_listing::leaving, "leaving" },
+} };
+
+/// Finds a key; an empty text counts as none, as the list is written by a program.
+std::optional<located_value> findFilled(const located_value& host, std::string_view key)
+{
+    auto found = find(host, key);
+    if (found && found->value->kind == yaml_kind::scalar && found->value->text.empty())
+        return std::nullopt;
+    return found;
+}
+
+void readServerKeys(state::host_record& record, const located_value& host, issue_list& issues)
+{
+    if (const auto address = require(host, "address", issues))
+        assign(record.address, readAddress(*address, issues));
+    if (const auto team = require(host, "team", issues))
+        assign(record.service.team, readIdentifier(*team, issues));
+    if (const auto service = require(host, "service", issues))
+        assign(record.service.name, readIdentifier(*service, issues));
+}
+
+void readEntryKeys(state::host_record& record, const located_value& host, issue_list& issues)
+{
+    if (const auto address = findFilled(host, "address"))
+        assign(record.address, readAddress(*address, issues));
+    if (const auto address = findFilled(host, "peer_address"))
+        assign(record.peerAddress, readAddress(*address, issues));
+}
+
+state::host_record readHost(const located_value& host, issue_list& issues)
+{
+    state::host_record record;
+    if (const auto id = require(host, "id", issues))
+        assign(record.id, readIdentifier(*id, issues));
+    if (const auto dataCentre = require(host, "data_centre", issues))
+        assign(record.dataCentre, readIdentifier(*dataCentre, issues));
+    if (const auto listed = find(host, "state"))
+        assign(record.listing, readChoice<state::host_listing>(*listed, listedStates, issues));
+    const auto named = require(host, "kind", issues);
+    const auto kind = named ? readChoice<state::host_kind>(*named, state::hostKindNames, issues) : std::nullopt;
+    assign(record.kind, kind);
+    if (kind == state::host_kind::server)
+        readServerKeys(record, host, issues);
+    if (kind == state::host_kind::entry)
+        readEntryKeys(record, host, issues);
+    return record;
+}
+
+} // namespace
+
+std::vector<state::host_record> readHosts(const located_value& root, issue_list& issues)
+{
+    std::vector<state::host_record> records;
+    if (!checkSequence(root, issues))
+        return records;
+    absl::flat_hash_map<state::host_id, int> lines;
+    for (const auto& item : root.value->items) {
+        const located_value host { &item, root.name };
+        if (!checkMapping(host, hostKeys, issues))
+            continue;
+        auto record = readHost(host, issues);
+        const auto [first, added] = lines.try_emplace(record.id, item.line);
+        if (!added && !record.id.empty())
+            report(issues, host,
+                fmt::format("the host '{}' is already listed in line {}; keep one", record.id, first->second));
+        records.push_back(std::move(record));
+    }
+    return records;
+}
+
+} // namespace acaciaslip::protocol
--- a/src/protocol/node_settings_reader.cpp
+++ b/src/protocol/node_settings_reader.cpp
@@ -1,34 +1,110 @@
 #include "protocol/node_settings_reader.hpp"
 
-#include <fmt/format.h>
-#include <yaml-cpp/yaml.h>
+#include "coordination/effects.hpp"
+#include "protocol/settings_schema.hpp"
+
+#include <array>
 
 namespace acaciaslip::protocol {
 
+namespace {
+
+constexpr std::array<std::string_view, 11> nodeKeys { "id", "data_centre", "callers", "peers", "operators", "platform",
+    "seed_peers", "lame_duck_ms", "log_level", "caller_threads", "max_body_bytes" };
+
+constexpr number_bounds lameDuckBounds { 0, 600'000, "ms" };
+constexpr number_bounds threadBounds { 1, 4096, "threads" };
+constexpr number_bounds bodyBounds { 1, 1024.0 * 1024 * 1024, "bytes" };
+
+std::vector<std::string> readAddresses(const located_value& list, issue_list& issues)
+{
+    std::vector<std::string> addresses;
+    if (!checkSequence(list, issues))
+        return addresses;
+    for (const auto& item : list.value->items) {
+        if (auto address = readAddress({ &item, list.name }, issues))
+            addresses.push_back(std::move(*address));
+    }
+    return addresses;
+}
+
+void readRequired(state::node_settings& settings, const located_value& root, issue_list& issues)
+{
+    if (const auto id = require(root, "id", issues))
+        assign(settings.id, readIdentifier(*id, issues));
+    if (const auto dataCentre = require(root, "data_centre", issues))
+        assign(settings.dataCentre, readIdentifier(*dataCentre, issues));
+    if (const auto address = require(root, "callers", issues))
+        assign(settings.callers, readAddress(*address, issues));
+    if (const auto address = require(root, "peers", issues))
+        assign(settings.peers, readAddress(*address, issues));
+    if (const auto address = require(root, "operators", issues))
+        assign(settings.operators, readAddress(*address, issues));
+    if (const auto list = require(root, "platform", issues)) {
+        settings.platform = readAddresses(*list, issues);
+        if (list->value->kind == yaml_kind::sequence && list->value->items.empty())
+            report(
+                issues, *list, "the list is empty; name at least one address of the platform's configuration service");
+    }
+}
+
+void readOptional(state::node_settings& settings, const located_value& root, issue_list& issues)
+{
+    if (const auto list = find(root, "seed_peers"))
+        settings.seedPeers = readAddresses(*list, issues);
+    if (const auto span = find(root, "lame_duck_ms")) {
+        if (const auto number = readInteger(*span, lameDuckBounds, issues))
+            settings.lameDuck = std::chrono::milliseconds { *number };
+    }
+    if (const auto level = find(root, "log_level")) {
+        if (readChoice<coordination::log_level>(*level, coordination::logLevelNames, issues))
+            settings.logLevel = level->value->text;
+    }
+    if (const auto threads = find(root, "caller_threads"))
+        assign(settings.callerThreads, readInteger(*threads, threadBounds, issues));
+    if (const auto bytes = find(root, "max_body_bytes"))
+        assign(settings.maxBodyBytes, readInteger(*bytes, bodyBounds, issues));
+}
+
+/// The callers' and the operators' port must differ, and the peers' TCP port from both.
+void checkPorts(const state::node_settings& settings, const located_value& root, issue_list& issues)
+{
+    const std::array<std::pair<std::string_view, const std::string*>, 3> ports { { { "callers", &settings.callers },
+        { "peers", &settings.peers }, { "operators", &settings.operators } } };
+    for (std::size_t later = 1; later < ports.size(); ++later) {
+        for (std::size_t earlier = 0; earlier < later; ++earlier) {
+            const auto& [name, address] = ports[later];
+            if (address->empty() || *address != *ports[earlier].second)
+                continue;
+            report(issues, find(root, name).value_or(root),
+                fmt::format("'{}' is also the address for {}; give each its own port", *address, ports[earlier].first));
+        }
+    }
+}
+
+} // namespace
+
+std::span<const std::string_view> nodeKeyNames()
+{
+    return nodeKeys;
+}
+
 absl::StatusOr<state::node_settings> readNodeSettings(std::string_view text, const std::string& name)
 {
-    try {
-        const auto root = YAML::Load(std::string(text));
-        state::node_settings settings;
-        settings.id = root["id"].as<std::string>();
-        settings.dataCentre = root["data_centre"].as<std::string>();
-        settings.callers = root["callers"].as<std::string>();
-        settings.peers = root["peers"].as<std::string>();
-        settings.operators = root["operators"].as<std::string>();
-        settings.platform = root["platform"].as<std::vector<std::string>>();
-        if (root["lame_duck_ms"])
-            settings.lameDuck = std::chrono::milliseconds { root["lame_duck_ms"].as<int>() };
-        if (root["log_level"])
-            settings.logLevel = root["log_level"].as<std::string>();
-        if (root["caller_threads"])
-            settings.callerThreads = root["caller_threads"].as<std::uint32_t>();
-        if (root["max_body_bytes"])
-            settings.maxBodyBytes = root["max_body_bytes"].as<std::uint64_t>();
-        return settings;
-    } catch (const YAML::Exception& error) {
-        return absl::InvalidArgumentError(
-            fmt::format("{}:{}:{}: {}", name, error.mark.line + 1, error.mark.column + 1, error.msg));
+    const auto document = readYaml(text, name);
+    if (!document.ok())
+        return document.status();
+    const located_value root { &document->root, &document->name };
+    issue_list issues;
+    state::node_settings settings;
+    if (checkMapping(root, nodeKeys, issues)) {
+        readRequired(settings, root, issues);
+        readOptional(settings, root, issues);
+        checkPorts(settings, root, issues);
     }
+    if (!issues.empty())
+        return toStatus(std::move(issues));
+    return settings;
 }
 
 } // namespace acaciaslip::protocol
--- a/src/protocol/node_settings_reader.hpp
+++ b/src/protocol/node_settings_reader.hpp
@@ -2,6 +2,7 @@
 
 #include "state/node_settings.hpp"
 
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -9,6 +10,9 @@
 
 namespace acaciaslip::protocol {
 
+/// Names of all keys of a node.yaml.
+[[nodiscard]] std::span<const std::string_view> nodeKeyNames();
+
 /// Reads and checks a node.yaml.
 /// \param text the file's text
 /// \param name what errors call the file
--- /dev/null
+++ b/src/protocol/service_schema.cpp
@@ -0,0 +1,137 @@
+#include "protocol/service_schema.hpp"
+
+#include <algorithm>
+#include <array>
+
+namespace acaciaslip::protocol {
+
+namespace {
+
+using state::service_settings;
+
+constexpr std::size_t maxPathLength = 1024;
+
+constexpr number_bounds slotBounds { 1, 1024, "requests at a time" };
+constexpr number_bounds connectionBounds { 1, 1'000'000, "connections" };
+constexpr number_bounds timeoutBounds { 1, 3'600'000, "ms" };
+constexpr number_bounds probeBounds { 0, 1000, "probes a second" };
+constexpr number_bounds waitingBounds { 0, 1'000'000, "requests" };
+constexpr number_bounds waitBounds { 0, 600'000, "ms" };
+constexpr number_bounds shareBounds { 0, 1, "(a share of requests)" };
+
+void readPathPrefix(service_settings& service, const located_value& value, issue_list& issues)
+{
+    const auto path = readText(value, issues);
+    if (!path)
+        return;
+    const bool printable
+        = std::all_of(path->begin(), path->end(), [](char letter) { return letter > ' ' && letter != 0x7f; });
+    if (!path->starts_with('/'))
+        report(issues, value, "a path prefix must start with '/'; put one in front");
+    else if (!printable || path->find_first_of("?#") != std::string::npos || path->size() > maxPathLength)
+        report(issues, value,
+            fmt::format(
+                "a path prefix has neither blanks nor '?' nor '#', and at most {} letters; shorten it to the path",
+                maxPathLength));
+    else
+        service.pathPrefix = *path;
+}
+
+void readHost(service_settings& service, const located_value& value, issue_list& issues)
+{
+    const auto host = readIdentifier(value, issues);
+    if (!host)
+        return;
+    if (std::any_of(host->begin(), host->end(), [](char letter) { return letter >= 'A' && letter <= 'Z'; }))
+        report(issues, value, "a host is compared in lower case; write it so");
+    else
+        service.host = *host;
+}
+
+void readMilliseconds(
+    state::duration& target, const located_value& value, const number_bounds& bounds, issue_list& issues)
+{
+    if (const auto number = readInteger(value, bounds, issues))
+        target = std::chrono::milliseconds { *number };
+}
+
+/// One key of a service and how its value is read.
+struct service_key {
+    std::string_view name;
+    void (*read)(service_settings&, const located_value&, issue_list&);
+};
+
+constexpr std::array<service_key, 13> serviceKeys { {
+    { "name",
+        [](auto& service, auto& value, auto& issues) { assign(service.name.name, readIdentifier(value, issues)); } },
+    { "path_prefix", readPathPrefix },
+    { "host", readHost },
+    { "slots",
+        [](auto& service, auto& value, auto& issues) {
+            assign(service.slots, readInteger(value, slotBounds, issues));
+        } },
+    { "connections",
+        [](auto& service, auto& value, auto& issues) {
+            assign(service.connections, readInteger(value, connectionBounds, issues));
+        } },
+    { "idempotent",
+        [](auto& service, auto& value, auto& issues) {
+            assign(service.idempotent, readChoice<state::idempotency>(value, state::idempotencyNames, issues));
+        } },
+    { "timeout_ms",
+        [](auto& service, auto& value, auto& issues) {
+            readMilliseconds(service.timeout, value, timeoutBounds, issues);
+        } },
+    { "hedge", [](auto& service, auto& value, auto& issues) { assign(service.hedge, readSwitch(value, issues)); } },
+    { "probes_per_second",
+        [](auto& service, auto& value, auto& issues) {
+            assign(service.probesPerSecond, readNumber(value, probeBounds, issues));
+        } },
+    { "max_waiting",
+        [](auto& service, auto& value, auto& issues) {
+            assign(service.maxWaiting, readInteger(value, waitingBounds, issues));
+        } },
+    { "wait_ms",
+        [](auto& service, auto& value, auto& issues) { readMilliseconds(service.wait, value, waitBounds, issues); } },
+    { "retry_share",
+        [](auto& service, auto& value, auto& issues) {
+            assign(service.retryShare, readNumber(value, shareBounds, issues));
+        } },
+    { "hedge_share",
+        [](auto& service, auto& value, auto& issues) {
+            assign(service.hedgeShare, readNumber(value, shareBounds, issues));
+        } },
+} };
+
+constexpr auto keyNames = [] {
+    std::array<std::string_view, serviceKeys.size()> names;
+    for (std::size_t index = 0; index < names.size(); ++index)
+        names[index] = serviceKeys[index].name;
+    return names;
+}();
+
+} // namespace
+
+std::span<const std::string_view> serviceKeyNames()
+{
+    return keyNames;
+}
+
+state::service_settings readServiceSettings(
+    const std::string& team, const service_description& description, issue_list& issues)
+{
+    state::service_settings service;
+    service.name.team = team;
+    for (const std::string_view needed : { "name", "path_prefix" }) {
+        if (!description.values.contains(needed))
+            report(issues, description.where, fmt::format("the service has no '{}'; add it to the template", needed));
+    }
+    for (const auto& [name, read] : serviceKeys) {
+        const auto found = description.values.find(name);
+        if (found != description.values.end() && found->second.value != nullptr)
+            read(service, found->second, issues);
+    }
+    return service;
+}
+
+} // namespace acaciaslip::protocol
