Carry a request's whole life in small modules

Cause: one file took requests, retried on a count alone, refused instead of waiting for a retry, ended nothing at its deadline, never hedged, and dropped the outcome of an attempt whose request had gone, which left the server's in-flight count too high for ever. Change: request_handling admits and settles; retry, waiting, hedging, deadlines, sending, request_end, idempotency_keys, token_budget and connection_share each do one job. The ledger keeps an attempt, and its idempotency key, until its outcome. Due requests stand in one ordered set that every event looks at, so a hedge or a refusal is late by at most the next event (a tick comes each 10 ms). Waiting requests stand in one ordered set a service, woken by that service's outcomes and by ticks. A repeat after an attempt that may have run costs a whole token, after a shed answer or a failed connect a quarter, after nothing left this node none. Conclusion: verdicts count every attempt, and repeats are bounded by a share of traffic.

--- /dev/null
+++ b/src/coordination/idempotency_keys.cpp
@@ -0,0 +1,41 @@
+#include "coordination/idempotency_keys.hpp"
+
+#include <xxhash.h>
+
+namespace acaciaslip::coordination {
+
+namespace {
+
+constexpr std::size_t maxKeptLength = 128; ///< bytes; longer keys are kept as a digest
+
+std::string digestOf(std::string_view key)
+{
+    const auto hash = XXH3_128bits(key.data(), key.size());
+    return "digest:" + std::to_string(hash.high64) + ':' + std::to_string(hash.low64);
+}
+
+} // namespace
+
+std::string scopedKey(state::service_index service, std::string_view key)
+{
+    return std::to_string(service) + '/' + (key.size() > maxKeptLength ? digestOf(key) : std::string(key));
+}
+
+bool claimKey(state::request_ledger& ledger, const std::string& key, state::request_id request)
+{
+    return ledger.keys.try_emplace(key, state::key_holder { request, 1 }).second;
+}
+
+void holdKey(state::request_ledger& ledger, const std::string& key)
+{
+    if (const auto found = ledger.keys.find(key); found != ledger.keys.end())
+        ++found->second.holders;
+}
+
+void releaseKey(state::request_ledger& ledger, const std::string& key)
+{
+    if (const auto found = ledger.keys.find(key); found != ledger.keys.end() && --found->second.holders == 0)
+        ledger.keys.erase(found);
+}
+
+} // namespace acaciaslip::coordination
--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -20,11 +20,7 @@
 
     void operator()(const request_arrived& arrived) const { admitRequest(self, arrived, now, random, effects); }
     void operator()(const caller_gone& gone) const { noteCallerGone(self, gone, now, effects); }
-    void operator()(const attempt_finished& finished) const
-    {
-        noteAttemptResult(self, finished, now, random, effects);
-        advanceRequests(self, now, random, effects);
-    }
+    void operator()(const attempt_finished& finished) const { noteAttemptResult(self, finished, now, random, effects); }
     void operator()(const probe_finished& finished) const { noteProbeFinished(self, finished, now, effects); }
     void operator()(const peer_message_received& received) const { notePeerMessage(self, received, now, effects); }
     void operator()(const value_received& received) const { noteValue(self, received, now, effects); }
@@ -33,7 +29,7 @@
     void operator()(const drain_requested&) const { beginStop(self, now, effects); }
     void operator()(const tick&) const
     {
-        advanceRequests(self, now, random, effects);
+        serveAllWaiting(self, now, random, effects);
         planReads(self, now, random, effects);
         planProbes(self, now, random, effects);
         tellPeers(self, now, random, effects);
@@ -56,6 +52,7 @@
 {
     self.lastEventAt = now;
     std::visit(dispatch { self, now, random, effects }, happened);
+    advanceDueRequests(self, now, random, effects);
 }
 
 } // namespace acaciaslip::coordination
--- a/src/coordination/node.hpp
+++ b/src/coordination/node.hpp
@@ -48,6 +48,7 @@
     std::map<state::attempt_outcome, std::uint64_t> attemptsByOutcome;
     std::uint64_t retries = 0;
     std::uint64_t hedges = 0;
+    std::uint64_t callersGone = 0; ///< callers that closed before their request ended
     std::uint64_t probes = 0;
     std::uint64_t platformReads = 0;
     std::uint64_t peerMessagesSent = 0;
--- /dev/null
+++ b/src/coordination/request_end.cpp
@@ -0,0 +1,75 @@
+#include "coordination/request_end.hpp"
+
+#include "coordination/deadlines.hpp"
+#include "coordination/idempotency_keys.hpp"
+#include "coordination/node.hpp"
+#include "coordination/waiting.hpp"
+
+namespace acaciaslip::coordination {
+
+namespace {
+
+bool isLeaving(const node& self) noexcept
+{
+    return self.phase >= node_phase::lame_duck;
+}
+
+void cancelRunning(const state::request& request, effect_list& effects)
+{
+    for (const auto id : request.running)
+        effects.emplace_back(cancel_attempt { id });
+}
+
+/// Attempts without an outcome stay in the ledger: a server's in-flight count must fall when they end.
+void forget(node& self, state::request& request)
+{
+    leaveQueue(self, request);
+    unscheduleRequest(self.requests, request);
+    releaseKey(self.requests, request.idempotencyKey);
+    self.requests.requests.erase(request.id);
+}
+
+} // namespace
+
+state::verdict verdictWithoutAnswer(const state::request& request) noexcept
+{
+    const bool open = request.mayHaveRun || !request.running.empty();
+    return open ? state::verdict::may_have_run : state::verdict::not_run;
+}
+
+void endWithAnswer(node& self, state::request& request, const state::host_id& server,
+    const state::payload_pointer& answer, effect_list& effects)
+{
+    ++self.counters.requestsByVerdict[state::verdict::ran];
+    effects.emplace_back(answer_caller { request.id, server, request.attempts, isLeaving(self), answer });
+    cancelRunning(request, effects);
+    forget(self, request);
+}
+
+void endWithRefusal(
+    node& self, state::request& request, state::refusal_reason reason, state::duration retryAfter, effect_list& effects)
+{
+    const auto outcome = verdictWithoutAnswer(request);
+    ++self.counters.requestsByVerdict[outcome];
+    ++self.counters.refusals[reason];
+    effects.emplace_back(refuse_caller { request.id, reason, outcome, request.attempts, retryAfter, isLeaving(self) });
+    cancelRunning(request, effects);
+    forget(self, request);
+}
+
+void endUnheard(node& self, state::request& request, effect_list& effects)
+{
+    ++self.counters.callersGone;
+    cancelRunning(request, effects);
+    forget(self, request);
+}
+
+void refuseUnkept(
+    node& self, state::request_id id, state::refusal_reason reason, state::duration retryAfter, effect_list& effects)
+{
+    ++self.counters.requestsByVerdict[state::verdict::not_run];
+    ++self.counters.refusals[reason];
+    effects.emplace_back(refuse_caller { id, reason, state::verdict::not_run, 0, retryAfter, isLeaving(self) });
+}
+
+} // namespace acaciaslip::coordination
--- a/src/coordination/request_handling.cpp
+++ b/src/coordination/request_handling.cpp
@@ -1,9 +1,15 @@
 #include "coordination/request_handling.hpp"
 
+#include "coordination/deadlines.hpp"
+#include "coordination/hedging.hpp"
+#include "coordination/idempotency_keys.hpp"
 #include "coordination/node.hpp"
-#include "coordination/picking.hpp"
+#include "coordination/request_end.hpp"
+#include "coordination/retry.hpp"
 #include "coordination/routing.hpp"
+#include "coordination/sending.hpp"
 #include "coordination/server_tracking.hpp"
+#include "coordination/waiting.hpp"
 
 #include <algorithm>
 
@@ -11,32 +17,8 @@
 
 namespace {
 
-constexpr state::duration decisionLife = std::chrono::milliseconds { 250 };
-constexpr state::duration retryAfter = std::chrono::seconds { 1 };
-constexpr std::uint32_t maxAttempts = 4;
-
-bool isLeaving(const node& self)
-{
-    return self.phase >= node_phase::lame_duck;
-}
-
-void refuse(node& self, const state::request& request, state::refusal_reason reason, effect_list& effects)
-{
-    const auto outcome = request.mayHaveRun ? state::verdict::may_have_run : state::verdict::not_run;
-    ++self.counters.requestsByVerdict[outcome];
-    ++self.counters.refusals[reason];
-    effects.emplace_back(refuse_caller { request.id, reason, outcome, request.attempts, retryAfter, isLeaving(self) });
-}
-
-void forget(node& self, state::request_id id)
-{
-    const auto found = self.requests.requests.find(id);
-    if (found == self.requests.requests.end())
-        return;
-    if (!found->second.idempotencyKey.empty())
-        self.requests.keys.erase(found->second.idempotencyKey);
-    self.requests.requests.erase(found);
-}
+constexpr state::duration retryAfterLeaving = std::chrono::milliseconds { 100 }; ///< another entry host can serve
+constexpr state::duration retryAfterDuplicate = std::chrono::seconds { 1 };
 
 bool isIdempotent(const state::service_settings& settings, const request_arrived& arrived)
 {
@@ -51,49 +33,83 @@
     return false;
 }
 
-bool sendTo(node& self, state::request& request, state::server_index index, state::time_point now, effect_list& effects)
+state::request makeRequest(const request_arrived& arrived, state::service_index service,
+    const state::service_settings& settings, state::time_point now)
+{
+    state::request request;
+    request.id = arrived.id;
+    request.service = service;
+    request.idempotent = isIdempotent(settings, arrived);
+    request.arrivedAt = now;
+    request.deadline = now + std::min(arrived.timeout.value_or(settings.timeout), settings.timeout);
+    request.body = arrived.body;
+    if (!arrived.idempotencyKey.empty())
+        request.idempotencyKey = scopedKey(service, arrived.idempotencyKey);
+    return request;
+}
+
+state::request& keep(node& self, state::request&& request, state::time_point now)
 {
-    auto& server = self.fleet.servers[index];
-    const auto& settings = self.fleet.services[request.service].settings;
-    const auto nodes = std::max<std::size_t>(self.fleet.entryHosts.size(), 1);
-    const auto id = state::attempt_id { self.requests.nextAttempt++ };
-    self.requests.attempts[id] = request.id;
-    request.running.push_back({ id, index, now, false });
-    request.tried.push_back(index);
-    ++request.attempts;
-    noteAttemptStarted(self, index, now);
-    const auto share = std::max<std::uint32_t>(1, settings.connections / static_cast<std::uint32_t>(nodes));
-    effects.emplace_back(send_attempt { id, server.id, server.address, request.deadline,
-        std::min(request.deadline, now + decisionLife), share, request.body });
-    return true;
+    self.requests.lastDeadline = std::max(self.requests.lastDeadline, request.deadline);
+    auto& kept = self.requests.requests[request.id] = std::move(request);
+    scheduleRequest(self.requests, kept, now);
+    return kept;
 }
 
-bool trySend(node& self, state::request& request, state::time_point now, random_generator& random, effect_list& effects)
+/// Sends a new request, or lets it wait behind those that have waited longer.
+void startRequest(
+    node& self, state::request& request, state::time_point now, random_generator& random, effect_list& effects)
 {
-    const auto picked = pickServer(self, request, now, random);
-    return picked && sendTo(self, request, *picked, now, effects);
+    auto& activity = self.fleet.services[request.service].activity;
+    fillRetryBudget(activity, self.fleet.services[request.service].settings.retryShare, now);
+    fillHedgeBudget(activity, self.fleet.services[request.service].settings.hedgeShare, now);
+    if (activity.waiting.empty() && trySend(self, request, attempt_role::only, now, random, effects)) {
+        planHedge(self, request, now);
+        return scheduleRequest(self.requests, request, now);
+    }
+    const auto service = request.service;
+    waitForServer(self, request, now, random, effects);
+    serveWaiting(self, service, now, random, effects);
 }
 
-bool mayTryAgain(const state::request& request, state::attempt_outcome outcome, state::time_point now)
+void learnServiceLatency(
+    node& self, const state::attempt& attempt, state::attempt_outcome outcome, state::time_point now)
 {
-    if (now >= request.deadline || request.attempts >= maxAttempts)
-        return false;
-    return request.idempotent || state::verdictOf(outcome) == state::verdict::not_run;
+    // A cancelled attempt took at least this long: without it, hedging would hide the slow answers that call for it.
+    if (outcome == state::attempt_outcome::answered || outcome == state::attempt_outcome::cancelled
+        || outcome == state::attempt_outcome::timed_out) {
+        const auto service = self.fleet.servers[attempt.server].service;
+        noteLatency(self.fleet.services[service].activity.latencies, now - attempt.startedAt);
+    }
+}
+
+void settleRequest(node& self, state::request& request, const state::attempt& attempt, const attempt_finished& finished,
+    state::time_point now, random_generator& random, effect_list& effects)
+{
+    std::erase(request.running, attempt.id);
+    if (finished.outcome == state::attempt_outcome::answered)
+        return endWithAnswer(self, request, self.fleet.servers[attempt.server].id, finished.answer, effects);
+    request.mayHaveRun |= state::verdictOf(finished.outcome) == state::verdict::may_have_run;
+    if (request.running.empty())
+        retryOrRefuse(self, request, finished.outcome, now, random, effects);
 }
 
-state::refusal_reason reasonOf(state::attempt_outcome outcome)
+void advanceRequest(
+    node& self, state::request& request, state::time_point now, random_generator& random, effect_list& effects)
 {
-    switch (outcome) {
-    case state::attempt_outcome::timed_out:
-    case state::attempt_outcome::expired:
-        return state::refusal_reason::deadline_exceeded;
-    case state::attempt_outcome::cut:
-    case state::attempt_outcome::mismatched:
-    case state::attempt_outcome::cancelled:
-        return state::refusal_reason::broken_answer;
-    default:
-        return state::refusal_reason::no_server;
+    if (now >= request.deadline)
+        return endWithRefusal(self, request, state::refusal_reason::deadline_exceeded,
+            findRetryAfter(self, request.service, random), effects);
+    if (request.waitingUntil && now >= *request.waitingUntil) {
+        const auto reason
+            = request.mayHaveRun ? state::refusal_reason::broken_answer : state::refusal_reason::overloaded;
+        return endWithRefusal(self, request, reason, findRetryAfter(self, request.service, random), effects);
     }
+    if (request.hedgeAt && now >= *request.hedgeAt)
+        sendHedge(self, request, now, random, effects);
+    scheduleRequest(self.requests, request, now);
+    if (request.waitingUntil)
+        serveWaiting(self, request.service, now, random, effects);
 }
 
 } // namespace
@@ -101,99 +117,58 @@
 void admitRequest(
     node& self, const request_arrived& arrived, state::time_point now, random_generator& random, effect_list& effects)
 {
-    state::request request;
-    request.id = arrived.id;
-    request.body = arrived.body;
-    request.arrivedAt = now;
     if (self.phase == node_phase::draining || self.phase == node_phase::stopped)
-        return refuse(self, request, state::refusal_reason::leaving, effects);
+        return refuseUnkept(self, arrived.id, state::refusal_reason::leaving, retryAfterLeaving, effects);
     const auto service = findRoute(self.fleet, arrived.host, arrived.path);
     if (!service) {
-        const auto reason
-            = self.phase == node_phase::starting ? state::refusal_reason::no_server : state::refusal_reason::no_route;
-        return refuse(self, request, reason, effects);
-    }
-    const auto& settings = self.fleet.services[*service].settings;
-    request.service = *service;
-    request.idempotent = isIdempotent(settings, arrived);
-    request.deadline = now + std::min(arrived.timeout.value_or(settings.timeout), settings.timeout);
-    if (!arrived.idempotencyKey.empty()) {
-        request.idempotencyKey = settings.name.team + '/' + settings.name.name + '/' + arrived.idempotencyKey;
-        if (!self.requests.keys.try_emplace(request.idempotencyKey, request.id).second)
-            return refuse(self, request, state::refusal_reason::duplicate_key, effects);
+        const bool starting = self.phase == node_phase::starting;
+        const auto reason = starting ? state::refusal_reason::no_server : state::refusal_reason::no_route;
+        return refuseUnkept(self, arrived.id, reason, starting ? retryAfterLeaving : state::duration {}, effects);
     }
-    auto& kept = self.requests.requests[request.id] = std::move(request);
-    if (trySend(self, kept, now, random, effects))
-        return;
-    const auto& waiting = self.fleet.services[*service].waiting;
-    if (waiting.size() >= settings.maxWaiting) {
-        refuse(self, kept, state::refusal_reason::overloaded, effects);
-        return forget(self, kept.id);
-    }
-    kept.waitingUntil = std::min(kept.deadline, now + settings.wait);
-    self.fleet.services[*service].waiting.push_back(kept.id);
+    auto request = makeRequest(arrived, *service, self.fleet.services[*service].settings, now);
+    if (now >= request.deadline)
+        return refuseUnkept(self, arrived.id, state::refusal_reason::deadline_exceeded, {}, effects);
+    if (!request.idempotencyKey.empty() && !claimKey(self.requests, request.idempotencyKey, request.id))
+        return refuseUnkept(self, arrived.id, state::refusal_reason::duplicate_key, retryAfterDuplicate, effects);
+    startRequest(self, keep(self, std::move(request), now), now, random, effects);
 }
 
 void noteAttemptResult(
     node& self, const attempt_finished& finished, state::time_point now, random_generator& random, effect_list& effects)
 {
-    const auto owner = self.requests.attempts.find(finished.id);
-    if (owner == self.requests.attempts.end())
+    const auto known = self.requests.attempts.find(finished.id);
+    if (known == self.requests.attempts.end())
         return;
-    const auto requestId = owner->second;
-    self.requests.attempts.erase(owner);
-    const auto found = self.requests.requests.find(requestId);
-    if (found == self.requests.requests.end())
-        return;
-    auto& request = found->second;
-    const auto running = std::find_if(request.running.begin(), request.running.end(),
-        [&](const state::attempt& attempt) { return attempt.id == finished.id; });
-    const state::attempt attempt = *running;
-    request.running.erase(running);
+    const auto attempt = std::move(known->second);
+    self.requests.attempts.erase(known);
+    releaseKey(self.requests, attempt.idempotencyKey);
     noteAttemptFinished(self, attempt.server, finished, attempt.startedAt, now, effects);
-    if (finished.outcome == state::attempt_outcome::answered) {
-        ++self.counters.requestsByVerdict[state::verdict::ran];
-        effects.emplace_back(answer_caller {
-            request.id, self.fleet.servers[attempt.server].id, request.attempts, isLeaving(self), finished.answer });
-        return forget(self, requestId);
-    }
-    request.mayHaveRun |= state::verdictOf(finished.outcome) == state::verdict::may_have_run;
-    if (mayTryAgain(request, finished.outcome, now) && trySend(self, request, now, random, effects)) {
-        ++self.counters.retries;
-        return;
-    }
-    refuse(self, request, reasonOf(finished.outcome), effects);
-    forget(self, requestId);
+    learnServiceLatency(self, attempt, finished.outcome, now);
+    const auto found = self.requests.requests.find(attempt.request);
+    if (found != self.requests.requests.end())
+        settleRequest(self, found->second, attempt, finished, now, random, effects);
+    serveWaiting(self, self.fleet.servers[attempt.server].service, now, random, effects);
 }
 
 void noteCallerGone(node& self, const caller_gone& gone, state::time_point /*now*/, effect_list& effects)
 {
     const auto found = self.requests.requests.find(gone.id);
-    if (found == self.requests.requests.end())
-        return;
-    for (const auto& attempt : found->second.running)
-        effects.emplace_back(cancel_attempt { attempt.id });
+    if (found != self.requests.requests.end())
+        endUnheard(self, found->second, effects);
+}
+
+void advanceDueRequests(node& self, state::time_point now, random_generator& random, effect_list& effects)
+{
+    auto& due = self.requests.due;
+    while (!due.empty() && due.begin()->at <= now)
+        advanceRequest(self, self.requests.requests.find(due.begin()->id)->second, now, random, effects);
 }
 
-void advanceRequests(node& self, state::time_point now, random_generator& random, effect_list& effects)
+void serveAllWaiting(node& self, state::time_point now, random_generator& random, effect_list& effects)
 {
-    for (auto& service : self.fleet.services) {
-        std::vector<state::request_id> still;
-        for (const auto id : service.waiting) {
-            const auto found = self.requests.requests.find(id);
-            if (found == self.requests.requests.end())
-                continue;
-            auto& request = found->second;
-            if (now >= *request.waitingUntil) {
-                refuse(self, request, state::refusal_reason::overloaded, effects);
-                forget(self, id);
-            } else if (trySend(self, request, now, random, effects)) {
-                request.waitingUntil.reset();
-            } else {
-                still.push_back(id);
-            }
-        }
-        service.waiting = std::move(still);
+    for (state::service_index service = 0; service < self.fleet.services.size(); ++service) {
+        if (!self.fleet.services[service].activity.waiting.empty())
+            serveWaiting(self, service, now, random, effects);
     }
 }
 
--- a/src/coordination/stopping.cpp
+++ b/src/coordination/stopping.cpp
@@ -6,6 +6,15 @@
 
 namespace {
 
+constexpr state::duration stopGrace = std::chrono::seconds { 2 }; ///< past the last deadline, for outcomes to come in
+
+/// Requests have ended, and so have attempts, which may outlive them; one whose outcome is lost holds nothing up.
+bool isIdle(const node& self, state::time_point now)
+{
+    const auto& ledger = self.requests;
+    return ledger.requests.empty() && (ledger.attempts.empty() || now >= ledger.lastDeadline + stopGrace);
+}
+
 void enterPhase(node& self, node_phase phase, state::time_point now, effect_list& effects)
 {
     self.phase = phase;
@@ -27,7 +36,7 @@
 {
     if (self.phase == node_phase::lame_duck && now - self.phaseSince >= self.settings.lameDuck)
         enterPhase(self, node_phase::draining, now, effects);
-    if (self.phase == node_phase::draining && self.requests.requests.empty()) {
+    if (self.phase == node_phase::draining && isIdle(self, now)) {
         enterPhase(self, node_phase::stopped, now, effects);
         effects.emplace_back(node_stopped {});
     }
--- a/src/state/fleet.hpp
+++ b/src/state/fleet.hpp
@@ -2,6 +2,7 @@
 
 #include "state/fleet_settings.hpp"
 #include "state/server_record.hpp"
+#include "state/service_activity.hpp"
 
 #include <vector>
 
@@ -9,19 +10,12 @@
 
 namespace acaciaslip::state {
 
-/// Tokens for repeated work: a share of traffic, never more than the burst.
-struct token_bucket {
-    double tokens = 0;
-};
-
 /// One service and its members.
 struct service_record {
     service_settings settings;
     bool active = true; ///< false: its settings are gone; its index stays
     std::vector<server_index> members; ///< every server not absent
-    std::vector<request_id> waiting; ///< requests waiting for a server
-    token_bucket retries;
-    token_bucket hedges;
+    service_activity activity;
 };
 
 /// Services and servers; indexes into both stay valid for the life of the process.
--- /dev/null
+++ b/tests/coordination/hedging_test.cpp
@@ -0,0 +1,133 @@
+#include "coordination/hedging.hpp"
+
+#include "coordination/node_fixture.hpp"
+
+namespace acaciaslip::coordination {
+namespace {
+
+using state::attempt_outcome;
+
+class hedging_test : public node_fixture {
+protected:
+    void serveHedged(std::size_t servers)
+    {
+        m_service.hedge = true;
+        serve(servers);
+    }
+
+    /// Has the service answer a number of requests, each after a given time.
+    void learn(state::duration latency, int answers = 40)
+    {
+        for (int answer = 0; answer < answers; ++answer) {
+            arrive();
+            m_now += latency;
+            finish(takeOne<send_attempt>().id, attempt_outcome::answered);
+            warmUp();
+        }
+        m_effects.clear();
+    }
+};
+
+TEST_F(hedging_test, Lookup_SlowerThanMost_AsksSecondServerAndCancelsLoser)
+{
+    serveHedged(3);
+    learn(2ms);
+    const auto id = arrive({ .idempotent = true });
+    const auto first = takeOne<send_attempt>();
+    pass(1ms, 1ms);
+    EXPECT_TRUE(take<send_attempt>().empty());
+    pass(3ms, 1ms);
+    const auto second = takeOne<send_attempt>();
+    EXPECT_NE(second.server, first.server);
+    finish(second.id, attempt_outcome::answered);
+    EXPECT_EQ(takeOne<answer_caller>().id, id);
+    EXPECT_EQ(takeOne<cancel_attempt>().id, first.id);
+    EXPECT_EQ(inFlight(), 1U);
+    finish(first.id, attempt_outcome::cancelled);
+    EXPECT_EQ(inFlight(), 0U);
+    EXPECT_EQ(m_node.counters.hedges, 1U);
+}
+
+TEST_F(hedging_test, Hedge_Due_SentAtAnyEvent)
+{
+    serveHedged(3);
+    learn(2ms);
+    arrive({ .idempotent = true });
+    take<send_attempt>();
+    m_now += 4ms;
+    happen(value_requested {});
+    EXPECT_EQ(take<send_attempt>().size(), 1U);
+}
+
+TEST_F(hedging_test, Booking_SlowerThanMost_NeverHedged)
+{
+    serveHedged(3);
+    learn(2ms);
+    arrive();
+    take<send_attempt>();
+    pass(500ms);
+    EXPECT_TRUE(take<send_attempt>().empty());
+}
+
+TEST_F(hedging_test, Service_HedgeOff_NeverHedged)
+{
+    serve(3);
+    learn(2ms);
+    arrive({ .idempotent = true });
+    take<send_attempt>();
+    pass(500ms);
+    EXPECT_TRUE(take<send_attempt>().empty());
+}
+
+TEST_F(hedging_test, OneOfTwo_Fails_OtherDecides)
+{
+    serveHedged(3);
+    learn(2ms);
+    arrive({ .idempotent = true });
+    const auto first = takeOne<send_attempt>();
+    pass(4ms, 1ms);
+    const auto second = takeOne<send_attempt>();
+    finish(first.id, attempt_outcome::cut);
+    EXPECT_TRUE(take<refuse_caller>().empty());
+    EXPECT_TRUE(take<send_attempt>().empty());
+    finish(second.id, attempt_outcome::answered);
+    EXPECT_EQ(take<answer_caller>().size(), 1U);
+}
+
+TEST_F(hedging_test, EveryLookup_Slow_HedgesBoundedByShare)
+{
+    constexpr int lookups = 400;
+    m_service.slots = 1000;
+    m_service.timeout = 20ms;
+    serveHedged(3);
+    learn(2ms);
+    for (int lookup = 0; lookup < lookups; ++lookup) {
+        arrive({ .idempotent = true });
+        pass(5ms, 1ms);
+        for (const auto& cancelled : take<cancel_attempt>())
+            finish(cancelled.id, attempt_outcome::cancelled);
+        m_node.fleet.services[0].activity.latencies = {};
+        for (int answer = 0; answer < 20; ++answer)
+            noteLatency(m_node.fleet.services[0].activity.latencies, 2ms);
+        warmUp();
+    }
+    EXPECT_LE(m_node.counters.hedges, lookups * m_service.hedgeShare + 6);
+    EXPECT_GE(m_node.counters.hedges, lookups * m_service.hedgeShare - 6);
+}
+
+TEST_F(hedging_test, Quantile_SpreadLatencies_WithinOneBucketAndFades)
+{
+    state::latency_histogram latencies;
+    for (int millisecond = 1; millisecond <= 100; ++millisecond)
+        noteLatency(latencies, std::chrono::milliseconds { millisecond });
+    const auto quantile = findQuantile(latencies, 0.95);
+    ASSERT_TRUE(quantile);
+    EXPECT_GE(*quantile, 95ms);
+    EXPECT_LE(*quantile, 95ms * 1.2);
+    for (int answer = 0; answer < 20'000; ++answer)
+        noteLatency(latencies, 1ms);
+    EXPECT_LE(findQuantile(latencies, 0.99).value_or(1h), 1200us);
+}
+
+} // namespace
+} // namespace acaciaslip::coordination
--- /dev/null
+++ b/tests/coordination/retry_test.cpp
@@ -0,0 +1,182 @@
+#include "coordination/node_fixture.hpp"
+
+#include "coordination/retry.hpp"
+
+#include <map>
+
+namespace acaciaslip::coordination {
+namespace {
+
+using state::attempt_outcome;
+
+class retry_test : public node_fixture { };
+
+TEST_F(retry_test, NonIdempotent_AttemptMayHaveRun_RefusedAndNeverSentAgain)
+{
+    for (const auto outcome :
+        { attempt_outcome::cut, attempt_outcome::mismatched, attempt_outcome::timed_out, attempt_outcome::cancelled }) {
+        serve(3);
+        arrive();
+        finish(takeOne<send_attempt>().id, outcome);
+        EXPECT_EQ(takeOne<refuse_caller>().outcome, state::verdict::may_have_run);
+        EXPECT_TRUE(take<send_attempt>().empty());
+    }
+}
+
+TEST_F(retry_test, NonIdempotent_ProvenNotRun_SentToAnotherServer)
+{
+    for (const auto outcome : { attempt_outcome::shed, attempt_outcome::connect_failed, attempt_outcome::no_connection,
+             attempt_outcome::expired }) {
+        serve(3);
+        m_node.fleet.services[0].activity.retries.tokens = 1;
+        arrive();
+        const auto first = takeOne<send_attempt>();
+        finish(first.id, outcome);
+        const auto second = takeOne<send_attempt>();
+        EXPECT_NE(second.server, first.server);
+        finish(second.id, attempt_outcome::answered);
+        EXPECT_EQ(takeOne<answer_caller>().attempts, 2U);
+    }
+}
+
+TEST_F(retry_test, NonIdempotent_NotRunThenCut_RefusedAsMayHaveRun)
+{
+    serve(3);
+    arrive();
+    finish(takeOne<send_attempt>().id, attempt_outcome::shed);
+    finish(takeOne<send_attempt>().id, attempt_outcome::cut);
+    const auto refusal = takeOne<refuse_caller>();
+    EXPECT_EQ(refusal.outcome, state::verdict::may_have_run);
+    EXPECT_EQ(refusal.attempts, 2U);
+}
+
+TEST_F(retry_test, Idempotent_CutThenEveryServerSheds_VerdictStaysMayHaveRun)
+{
+    m_service.wait = 100ms;
+    serve(2);
+    arrive({ .idempotent = true });
+    finish(takeOne<send_attempt>().id, attempt_outcome::cut);
+    finish(takeOne<send_attempt>().id, attempt_outcome::shed);
+    m_node.fleet.services[0].activity.retries.tokens = -100;
+    pass(200ms);
+    EXPECT_EQ(takeOne<refuse_caller>().outcome, state::verdict::may_have_run);
+}
+
+TEST_F(retry_test, Attempts_EachSheds_BoundedAndProvenNotRun)
+{
+    serve(8);
+    arrive();
+    std::uint32_t sent = 0;
+    for (auto attempts = take<send_attempt>(); !attempts.empty(); attempts = take<send_attempt>()) {
+        ++sent;
+        finish(attempts.front().id, attempt_outcome::shed);
+    }
+    EXPECT_EQ(sent, maxAttempts);
+    EXPECT_EQ(takeOne<refuse_caller>().outcome, state::verdict::not_run);
+}
+
+TEST_F(retry_test, OnlyServer_Sheds_WaitsAndIsTriedAgainLater)
+{
+    serve(1);
+    const auto id = arrive();
+    finish(takeOne<send_attempt>().id, attempt_outcome::shed);
+    EXPECT_TRUE(take<send_attempt>().empty());
+    EXPECT_TRUE(take<refuse_caller>().empty());
+    pass(50ms);
+    finish(takeOne<send_attempt>().id, attempt_outcome::answered);
+    EXPECT_EQ(takeOne<answer_caller>().id, id);
+}
+
+TEST_F(retry_test, Overload_EveryServerSheds_SendsBoundedByBudget)
+{
+    constexpr int requests = 1000;
+    m_service.wait = 20ms;
+    m_service.slots = 64;
+    serve(6);
+    int sent = 0;
+    for (int request = 0; request < requests; ++request) {
+        warmUp();
+        arrive();
+        for (auto attempts = take<send_attempt>(); !attempts.empty(); attempts = take<send_attempt>()) {
+            sent += static_cast<int>(attempts.size());
+            for (const auto& attempt : attempts)
+                finish(attempt.id, attempt_outcome::shed);
+        }
+        pass(1ms, 1ms);
+    }
+    // A shed answer costs a quarter of a token: 0.1 tokens a request pay 0.4 sends, and the floor and burst a few.
+    EXPECT_LT(sent, requests * 1.4 + 60);
+    EXPECT_GT(sent, requests);
+}
+
+TEST_F(retry_test, Lookups_AnswersLost_RepeatedWorkBoundedByBudget)
+{
+    constexpr int requests = 1000;
+    serve(6);
+    int sent = 0;
+    int refused = 0;
+    for (int request = 0; request < requests; ++request) {
+        warmUp();
+        arrive({ .idempotent = true });
+        for (auto attempts = take<send_attempt>(); !attempts.empty(); attempts = take<send_attempt>()) {
+            sent += static_cast<int>(attempts.size());
+            finish(attempts.front().id, attempt_outcome::cut);
+        }
+        for (const auto& refusal : take<refuse_caller>()) {
+            ++refused;
+            EXPECT_EQ(refusal.outcome, state::verdict::may_have_run);
+        }
+        pass(1ms, 1ms);
+    }
+    EXPECT_EQ(refused, requests) << "without a token nobody is kept waiting";
+    EXPECT_LT(sent, requests * 1.1 + 15);
+    EXPECT_GT(sent, requests * 1.1 - 15);
+}
+
+/// A server's own record of what it ran.
+class booking_ledger {
+public:
+    /// Runs a request; the answer is lost for every third.
+    attempt_outcome run(state::request_id id)
+    {
+        ++m_runs[id];
+        return ++m_total % 3 == 0 ? attempt_outcome::cut : attempt_outcome::answered;
+    }
+
+    [[nodiscard]] int mostRuns() const
+    {
+        int most = 0;
+        for (const auto& [id, runs] : m_runs)
+            most = std::max(most, runs);
+        return most;
+    }
+
+private:
+    std::map<state::request_id, int> m_runs;
+    int m_total = 0;
+};
+
+TEST_F(retry_test, Bookings_AnswersLost_NaiveRetryRunsTwiceAndOursOnce)
+{
+    constexpr int bookings = 60;
+    booking_ledger naive;
+    for (std::uint64_t booking = 1; booking <= bookings; ++booking) {
+        while (naive.run(state::request_id { booking }) != attempt_outcome::answered)
+            continue; // retry on anything
+    }
+    EXPECT_GT(naive.mostRuns(), 1);
+
+    booking_ledger ours;
+    serve(4);
+    for (int booking = 0; booking < bookings; ++booking) {
+        warmUp();
+        const auto id = arrive();
+        for (auto attempts = take<send_attempt>(); !attempts.empty(); attempts = take<send_attempt>())
+            finish(attempts.front().id, ours.run(id));
+    }
+    EXPECT_EQ(ours.mostRuns(), 1);
+    EXPECT_EQ(take<answer_caller>().size() + take<refuse_caller>().size(), bookings);
+}
+
+} // namespace
+} // namespace acaciaslip::coordination
--- /dev/null
+++ b/tests/coordination/waiting_test.cpp
@@ -0,0 +1,124 @@
+#include "coordination/waiting.hpp"
+
+#include "coordination/deadlines.hpp"
+#include "coordination/node_fixture.hpp"
+
+namespace acaciaslip::coordination {
+namespace {
+
+using state::attempt_outcome;
+
+class waiting_test : public node_fixture {
+protected:
+    state::attempt_id fillOnlyServer()
+    {
+        serve(1);
+        arrive();
+        return takeOne<send_attempt>().id;
+    }
+
+    state::request_id requestOf(state::attempt_id id) { return m_node.requests.attempts.at(id).request; }
+};
+
+TEST_F(waiting_test, Servers_Full_EarliestDeadlineGoesFirst)
+{
+    const auto running = fillOnlyServer();
+    const auto late = arrive({ .timeout = 900ms });
+    const auto early = arrive({ .timeout = 300ms });
+    finish(running, attempt_outcome::answered);
+    const auto second = takeOne<send_attempt>();
+    EXPECT_EQ(requestOf(second.id), early);
+    finish(second.id, attempt_outcome::answered);
+    EXPECT_EQ(requestOf(takeOne<send_attempt>().id), late);
+}
+
+TEST_F(waiting_test, Wait_Ends_RefusedAsNotRunWithSpreadRetryAfter)
+{
+    m_service.wait = 100ms;
+    fillOnlyServer();
+    arrive();
+    arrive();
+    pass(100ms);
+    const auto refusals = take<refuse_caller>();
+    ASSERT_EQ(refusals.size(), 2U);
+    EXPECT_EQ(refusals[0].reason, state::refusal_reason::overloaded);
+    EXPECT_EQ(refusals[0].outcome, state::verdict::not_run);
+    EXPECT_GT(refusals[0].retryAfter, 0s);
+    EXPECT_NE(refusals[0].retryAfter, refusals[1].retryAfter);
+    EXPECT_TRUE(m_node.fleet.services[0].activity.waiting.empty());
+}
+
+TEST_F(waiting_test, Queue_Full_RefusedAtOnce)
+{
+    m_service.maxWaiting = 2;
+    fillOnlyServer();
+    arrive();
+    arrive();
+    EXPECT_TRUE(take<refuse_caller>().empty());
+    arrive();
+    EXPECT_EQ(takeOne<refuse_caller>().reason, state::refusal_reason::overloaded);
+}
+
+TEST_F(waiting_test, Wait_CannotEndBeforeDeadline_RefusedEarly)
+{
+    auto running = fillOnlyServer();
+    for (int departure = 0; departure < 10; ++departure) {
+        arrive();
+        pass(50ms);
+        finish(running, attempt_outcome::answered);
+        running = takeOne<send_attempt>().id;
+    }
+    take<answer_caller>();
+    arrive({ .timeout = 200ms });
+    arrive({ .timeout = 200ms });
+    EXPECT_TRUE(take<refuse_caller>().empty());
+    arrive({ .timeout = 80ms });
+    EXPECT_TRUE(take<refuse_caller>().empty()) << "an earlier deadline goes ahead of the others";
+    arrive({ .timeout = 90ms });
+    EXPECT_EQ(takeOne<refuse_caller>().reason, state::refusal_reason::overloaded);
+}
+
+TEST_F(waiting_test, Outcome_OfAnotherService_DoesNotServeQueue)
+{
+    const auto running = fillOnlyServer();
+    arrive();
+    auto other = m_service;
+    other.name.name = "b";
+    other.pathPrefix = "/b";
+    m_published->services.push_back(other);
+    m_published->hosts.push_back(
+        { "t0", "t0:1", "dc-a", state::host_kind::server, other.name, state::host_listing::live, "" });
+    publish();
+    warmUp();
+    arrive({ .path = "/b" });
+    finish(takeOne<send_attempt>().id, attempt_outcome::answered);
+    EXPECT_TRUE(take<send_attempt>().empty());
+    finish(running, attempt_outcome::answered);
+    EXPECT_EQ(take<send_attempt>().size(), 1U);
+}
+
+TEST_F(waiting_test, Server_RoomComesWithoutOutcome_TickServesQueue)
+{
+    fillOnlyServer();
+    arrive();
+    m_published->hosts.push_back(
+        { "s9", "s9:1", "dc-a", state::host_kind::server, m_service.name, state::host_listing::live, "" });
+    publish();
+    warmUp();
+    pass(10ms);
+    EXPECT_EQ(takeOne<send_attempt>().server, "s9");
+}
+
+TEST_F(waiting_test, WakeUp_RequestWaits_IsItsEarliestBound)
+{
+    m_service.wait = 100ms;
+    fillOnlyServer();
+    const auto at = m_now;
+    arrive();
+    EXPECT_EQ(nextWakeUp(m_node.requests), at + 100ms);
+    arrive({ .timeout = 30ms });
+    EXPECT_EQ(nextWakeUp(m_node.requests), at + 30ms);
+}
+
+} // namespace
+} // namespace acaciaslip::coordination
