Hold new sends while the picture is suspect

Cause: after a pause a node would send on an old picture of the fleet. Change: a new send waits in the service's queue while the picture is suspect; the queue's own bounds hold. The fixture fills servers however many requests they take, so the tests do not depend on how servers are picked. Conclusion: a suspect picture delays work for a bounded time and refuses none for it.

--- a/src/coordination/sending.cpp
+++ b/src/coordination/sending.cpp
@@ -1,6 +1,7 @@
 #include "coordination/sending.hpp"
 
 #include "coordination/connection_share.hpp"
+#include "coordination/freshness.hpp"
 #include "coordination/idempotency_keys.hpp"
 #include "coordination/node.hpp"
 #include "coordination/picking.hpp"
@@ -36,7 +37,7 @@
 bool trySend(node& self, state::request& request, attempt_role role, state::time_point now, random_generator& random,
     effect_list& effects)
 {
-    if (now >= request.deadline)
+    if (now >= request.deadline || isPictureSuspect(self, now))
         return false;
     const auto picked = pickServer(self, request, now, random);
     if (!picked)
--- a/tests/coordination/node_fixture.hpp
+++ b/tests/coordination/node_fixture.hpp
@@ -55,7 +55,14 @@
     }
 
     /// Puts `*m_published` in force under the next revision.
-    void publish() { happen(value_received { "acaciaslip/hosts", ++m_revision, std::to_string(m_revision) }); }
+    void publish()
+    {
+        value_received received;
+        received.key = "acaciaslip/hosts";
+        received.number = ++m_revision;
+        received.body = std::to_string(m_revision);
+        happen(received);
+    }
 
     void warmUp()
     {
@@ -81,6 +88,29 @@
         return id;
     }
 
+    /// Has requests come until every server is full, however many they take.
+    /// \return the attempts that run, oldest first
+    std::vector<state::attempt_id> fill()
+    {
+        std::vector<state::attempt_id> running;
+        for (int tries = 0; tries < 1000; ++tries) {
+            const auto id = arrive();
+            const auto sent = take<send_attempt>();
+            if (sent.empty()) {
+                happen(caller_gone { id });
+                return running;
+            }
+            running.push_back(sent.front().id);
+        }
+        ADD_FAILURE() << "servers are never full";
+        return running;
+    }
+
+    [[nodiscard]] state::request_id requestOf(state::attempt_id id) const
+    {
+        return m_node.requests.attempts.at(id).request;
+    }
+
     void finish(state::attempt_id id, state::attempt_outcome outcome)
     {
         happen(attempt_finished { id, outcome, outcome == state::attempt_outcome::answered ? 200 : 0, nullptr });
--- a/tests/coordination/request_handling_test.cpp
+++ b/tests/coordination/request_handling_test.cpp
@@ -72,7 +72,7 @@
 {
     m_service.wait = 1s;
     serve(1);
-    arrive();
+    fill();
     arrive({ .timeout = 50ms });
     pass(50ms);
     const auto refusal = takeOne<refuse_caller>();
@@ -106,17 +106,20 @@
 TEST_F(request_handling_test, CallerGone_AttemptRuns_CancelledForgottenAndCounted)
 {
     serve(1);
-    const auto id = arrive();
-    const auto waiting = arrive();
-    const auto sent = takeOne<send_attempt>();
-    happen(caller_gone { waiting });
-    happen(caller_gone { id });
-    EXPECT_EQ(takeOne<cancel_attempt>().id, sent.id);
-    finish(sent.id, state::attempt_outcome::answered);
-    EXPECT_EQ(inFlight(), 0U);
-    EXPECT_EQ(m_node.counters.callersGone, 2U);
+    const auto running = fill();
+    const auto goneBefore = m_node.counters.callersGone;
+    happen(caller_gone { arrive() });
+    for (const auto id : running) {
+        happen(caller_gone { requestOf(id) });
+        EXPECT_EQ(takeOne<cancel_attempt>().id, id);
+    }
     EXPECT_TRUE(m_node.requests.requests.empty());
     EXPECT_TRUE(m_node.requests.due.empty());
+    EXPECT_EQ(inFlight(), running.size());
+    for (const auto id : running)
+        finish(id, state::attempt_outcome::answered);
+    EXPECT_EQ(inFlight(), 0U);
+    EXPECT_EQ(m_node.counters.callersGone, goneBefore + running.size() + 1);
     EXPECT_TRUE(take<answer_caller>().empty());
     EXPECT_TRUE(take<send_attempt>().empty());
 }
--- a/tests/coordination/stopping_test.cpp
+++ b/tests/coordination/stopping_test.cpp
@@ -32,14 +32,15 @@
 TEST_F(stopping_test, Draining_RunningAndWaiting_BothFinishBeforeStop)
 {
     serve(1);
-    arrive();
+    const auto running = fill();
     arrive();
     happen(drain_requested {});
     pass(150ms);
     EXPECT_TRUE(take<node_stopped>().empty());
+    for (const auto id : running)
+        finish(id, attempt_outcome::answered);
     finish(takeOne<send_attempt>().id, attempt_outcome::answered);
-    finish(takeOne<send_attempt>().id, attempt_outcome::answered);
-    EXPECT_EQ(take<answer_caller>().size(), 2U);
+    EXPECT_EQ(take<answer_caller>().size(), running.size() + 1);
     pass(10ms);
     EXPECT_EQ(take<node_stopped>().size(), 1U);
 }
--- a/tests/coordination/waiting_test.cpp
+++ b/tests/coordination/waiting_test.cpp
@@ -1,6 +1,7 @@
 #include "coordination/waiting.hpp"
 
 #include "coordination/deadlines.hpp"
+#include "coordination/freshness.hpp"
 #include "coordination/node_fixture.hpp"
 
 namespace acaciaslip::coordination {
@@ -10,14 +11,11 @@
 
 class waiting_test : public node_fixture {
 protected:
-    state::attempt_id fillOnlyServer()
+    std::vector<state::attempt_id> fillOnlyServer()
     {
         serve(1);
-        arrive();
-        return takeOne<send_attempt>().id;
+        return fill();
     }
-
-    state::request_id requestOf(state::attempt_id id) { return m_node.requests.attempts.at(id).request; }
 };
 
 TEST_F(waiting_test, Servers_Full_EarliestDeadlineGoesFirst)
@@ -25,7 +23,7 @@
     const auto running = fillOnlyServer();
     const auto late = arrive({ .timeout = 900ms });
     const auto early = arrive({ .timeout = 300ms });
-    finish(running, attempt_outcome::answered);
+    finish(running.front(), attempt_outcome::answered);
     const auto second = takeOne<send_attempt>();
     EXPECT_EQ(requestOf(second.id), early);
     finish(second.id, attempt_outcome::answered);
@@ -65,8 +63,9 @@
     for (int departure = 0; departure < 10; ++departure) {
         arrive();
         pass(50ms);
-        finish(running, attempt_outcome::answered);
-        running = takeOne<send_attempt>().id;
+        finish(running.front(), attempt_outcome::answered);
+        running.erase(running.begin());
+        running.push_back(takeOne<send_attempt>().id);
     }
     take<answer_caller>();
     arrive({ .timeout = 200ms });
@@ -93,7 +92,7 @@
     arrive({ .path = "/b" });
     finish(takeOne<send_attempt>().id, attempt_outcome::answered);
     EXPECT_TRUE(take<send_attempt>().empty());
-    finish(running, attempt_outcome::answered);
+    finish(running.front(), attempt_outcome::answered);
     EXPECT_EQ(take<send_attempt>().size(), 1U);
 }
 
@@ -109,6 +108,18 @@
     EXPECT_EQ(takeOne<send_attempt>().server, "s9");
 }
 
+TEST_F(waiting_test, Picture_Suspect_NewRequestWaitsBoundedAndIsNotRefused)
+{
+    serve(1);
+    m_node.suspectSince = m_now;
+    const auto id = arrive();
+    EXPECT_TRUE(take<send_attempt>().empty());
+    EXPECT_TRUE(take<refuse_caller>().empty());
+    pass(refreshBound + 10ms);
+    const auto sent = takeOne<send_attempt>();
+    EXPECT_EQ(requestOf(sent.id), id);
+}
+
 TEST_F(waiting_test, WakeUp_RequestWaits_IsItsEarliestBound)
 {
     m_service.wait = 100ms;
