Tell growth and collapse of cold servers by epoch, and cut permits under leases

Cause: a limit that each node moved alone could be raised by late news after a collapse, and permits ranked over every listed host stayed with hosts that had gone. Change: conditions carry an epoch per server and merge by (epoch, limit); permits go by rank among the hosts heard lately, under leases confirmed by echoes in peer messages; ejections and drain reports obey a panic rule; each server is read by floor(budget) nodes chosen from the list alone, each no faster than once a second. Conclusion: nothing measured yet; picking asks coldAllowance once echoes travel between processes.

--- /dev/null
+++ b/src/coordination/ejection.cpp
@@ -0,0 +1,91 @@
+#include "coordination/ejection.hpp"
+
+#include "coordination/conditions.hpp"
+#include "coordination/membership.hpp"
+#include "coordination/node.hpp"
+
+#include <algorithm>
+
+#include <xxhash.h>
+
+namespace acaciaslip::coordination {
+
+namespace {
+
+constexpr std::uint32_t failuresToEject = 5;
+constexpr std::uint32_t connectFailuresToEject = 3;
+constexpr state::duration firstEjection = std::chrono::seconds { 1 };
+constexpr std::uint32_t mostDoublings = 4; ///< 16 s at most, and jitter
+constexpr std::uint64_t jitterParts = 256; ///< up to half of the time is added
+
+state::duration ejectionTime(const node& self, const state::server_record& server)
+{
+    const auto base = firstEjection * (1U << std::min(server.ejections, mostDoublings));
+    const auto seed = XXH3_64bits_withSeed(server.id.data(), server.id.size(), server.ejections);
+    const auto draw = XXH3_64bits_withSeed(self.settings.id.data(), self.settings.id.size(), seed) % jitterParts;
+    return base + base / 2 * draw / jitterParts;
+}
+
+bool isInService(const state::server_record& server) noexcept
+{
+    return server.listing == state::host_listing::live && !server.dataCentreOut;
+}
+
+bool isKeptFromWork(const state::server_record& server) noexcept
+{
+    return server.condition == state::server_condition::ejected || (server.report && server.report->draining);
+}
+
+} // namespace
+
+bool canSpare(const node& self, const state::server_record& server,
+    const std::function<bool(const state::server_record&)>& isKept)
+{
+    std::size_t live = 0;
+    std::size_t kept = 0;
+    for (const auto index : self.fleet.services[server.service].members) {
+        const auto& other = self.fleet.servers[index];
+        if (!isInService(other))
+            continue;
+        ++live;
+        kept += other.id != server.id && isKept(other) ? 1 : 0;
+    }
+    return (kept + 1) * 2 <= live;
+}
+
+bool mayBelieveDraining(const node& self, const state::server_record& server)
+{
+    return canSpare(self, server, isKeptFromWork);
+}
+
+void noteFailure(
+    node& self, state::server_record& server, bool connectFailed, state::time_point now, effect_list& effects)
+{
+    server.goodAnswers = 0;
+    ++server.badAnswers;
+    server.connectFailures = connectFailed ? server.connectFailures + 1 : 0;
+    const bool isFailing = server.badAnswers >= failuresToEject || server.connectFailures >= connectFailuresToEject;
+    if (!isFailing || server.condition == state::server_condition::ejected || !canSpare(self, server, isKeptFromWork))
+        return;
+    const auto time = ejectionTime(self, server);
+    ++server.ejections;
+    server.condition = state::server_condition::ejected;
+    server.conditionReason = connectFailed ? "connect_failures" : "failures";
+    server.conditionSince = now;
+    server.ejectedUntil = now + time;
+    collapse(self, server, server.conditionReason, now, effects);
+}
+
+void reviewEjection(node& self, state::server_record& server, state::time_point now, effect_list& effects)
+{
+    if (server.condition != state::server_condition::ejected || now < server.ejectedUntil)
+        return;
+    server.condition = state::server_condition::cold;
+    server.conditionReason = "returning";
+    server.conditionSince = now;
+    server.badAnswers = 0;
+    server.connectFailures = 0;
+    tellConditionChange(self, describeCondition(server, now), now, effects);
+}
+
+} // namespace acaciaslip::coordination
--- a/src/coordination/fleet_update.cpp
+++ b/src/coordination/fleet_update.cpp
@@ -1,7 +1,9 @@
 #include "coordination/fleet_update.hpp"
 
+#include "coordination/conditions.hpp"
 #include "coordination/node.hpp"
-#include "coordination/server_tracking.hpp"
+#include "coordination/permits.hpp"
+#include "coordination/probing.hpp"
 
 #include <algorithm>
 
@@ -39,15 +41,24 @@
     if (service == fleet.serviceIndexes.end())
         return;
     auto& server = findOrAddServer(fleet, host.id);
-    const bool wasAway = server.listing == state::host_listing::absent || server.dataCentreOut;
-    const bool replaced = server.address != host.address;
+    const bool goesOut = out && !server.dataCentreOut && server.listing != state::host_listing::absent;
+    const bool replaced = !server.address.empty() && server.address != host.address;
     server.address = host.address;
     server.dataCentre = host.dataCentre;
     server.service = service->second;
     server.listing = host.listing;
     server.dataCentreOut = out;
-    if ((wasAway && !out) || replaced)
-        makeCold(server, wasAway ? "new_or_returned" : "replaced", now);
+    if (goesOut || replaced)
+        makeCold(server, goesOut ? "data_centre_out" : "replaced", now);
+}
+
+/// A server turns cold as it goes, not as it returns: a node late to hear of the return may not undo its growth.
+void noteAbsent(state::server_record& server, state::time_point now)
+{
+    if (server.listing == state::host_listing::absent)
+        return;
+    server.listing = state::host_listing::absent;
+    makeCold(server, "unlisted", now);
 }
 
 void listMembers(state::fleet& fleet)
@@ -82,9 +93,11 @@
     std::sort(fleet.entryHosts.begin(), fleet.entryHosts.end());
     for (auto& server : fleet.servers) {
         if (!listed.contains(server.id))
-            server.listing = state::host_listing::absent;
+            noteAbsent(server, now);
     }
     listMembers(fleet);
+    notePermitHosts(self, now);
+    assignProbes(self, now);
 }
 
 } // namespace acaciaslip::coordination
--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -1,6 +1,8 @@
 #include "coordination/membership.hpp"
 
+#include "coordination/conditions.hpp"
 #include "coordination/node.hpp"
+#include "coordination/permits.hpp"
 #include "coordination/server_tracking.hpp"
 
 namespace acaciaslip::coordination {
@@ -8,6 +10,7 @@
 namespace {
 
 constexpr state::duration heartbeatInterval = std::chrono::milliseconds { 100 };
+constexpr std::size_t repeatedConditions = 8; ///< in one heartbeat
 
 state::peer_message makeMessage(node& self)
 {
@@ -53,6 +56,7 @@
     peer.leaving = message.leaving;
     peer.heardAt = now;
     notePeerLoads(self, message, now);
+    noteEcho(self, message, now);
     notePeerConditions(self, message, now, effects);
 }
 
@@ -63,7 +67,10 @@
             continue;
         peer.nextTellAt = now + heartbeatInterval;
         auto message = makeMessage(self);
+        message.echoIncarnation = peer.incarnation;
+        message.echoSequence = peer.sequence;
         addLoads(self, message);
+        message.conditions = conditionsToRepeat(self, repeatedConditions, now);
         ++self.counters.peerMessagesSent;
         effects.emplace_back(tell_peer { peer.address, std::move(message) });
     }
--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -1,8 +1,9 @@
 #include "coordination/node.hpp"
 
 #include "coordination/membership.hpp"
-#include "coordination/probing.hpp"
+#include "coordination/reports.hpp"
 #include "coordination/request_handling.hpp"
+#include "coordination/server_review.hpp"
 #include "coordination/server_tracking.hpp"
 #include "coordination/settings_spread.hpp"
 #include "coordination/stopping.hpp"
@@ -35,7 +36,7 @@
     {
         advanceRequests(self, now, random, effects);
         planReads(self, now, random, effects);
-        planProbes(self, now, random, effects);
+        reviewServers(self, now, random, effects);
         tellPeers(self, now, random, effects);
         advanceStop(self, now, effects);
     }
--- a/src/coordination/node.hpp
+++ b/src/coordination/node.hpp
@@ -3,6 +3,8 @@
 #include "coordination/effects.hpp"
 #include "coordination/events.hpp"
 #include "coordination/forward_declarations.hpp"
+#include "coordination/permits.hpp"
+#include "coordination/server_review.hpp"
 #include "state/fleet.hpp"
 #include "state/node_settings.hpp"
 #include "state/peer_table.hpp"
@@ -80,6 +82,8 @@
     state::peer_table peers;
     std::uint64_t nextSequence = 1;
     spread_state spread;
+    permit_state permits;
+    review_state review;
     node_counters counters;
 };
 
--- /dev/null
+++ b/src/coordination/server_review.cpp
@@ -0,0 +1,46 @@
+#include "coordination/server_review.hpp"
+
+#include "coordination/cold_start.hpp"
+#include "coordination/ejection.hpp"
+#include "coordination/node.hpp"
+#include "coordination/permits.hpp"
+#include "coordination/probing.hpp"
+#include "coordination/reports.hpp"
+
+#include <algorithm>
+
+namespace acaciaslip::coordination {
+
+namespace {
+
+constexpr state::duration reviewPeriod = std::chrono::milliseconds { 100 };
+
+std::size_t takeSlice(review_state& review, std::size_t servers, state::time_point now)
+{
+    const auto elapsed = now - review.at.value_or(now);
+    review.at = now;
+    const double periods = std::min(1.0, std::chrono::duration<double>(elapsed) / reviewPeriod);
+    review.owed = std::min(review.owed + periods * static_cast<double>(servers), static_cast<double>(servers));
+    const auto slice = static_cast<std::size_t>(review.owed);
+    review.owed -= static_cast<double>(slice);
+    return slice;
+}
+
+} // namespace
+
+void reviewServers(node& self, state::time_point now, random_generator& random, effect_list& effects)
+{
+    refreshPermits(self, now);
+    auto& servers = self.fleet.servers;
+    for (auto left = takeSlice(self.review, servers.size(), now); left > 0; --left) {
+        auto& server = servers[self.review.next++ % servers.size()];
+        if (server.listing == state::host_listing::absent)
+            continue;
+        reviewStall(self, server, now, effects);
+        reviewEjection(self, server, now, effects);
+        reviewReport(server, now);
+        probeIfDue(self, server, now, random, effects);
+    }
+}
+
+} // namespace acaciaslip::coordination
--- a/src/coordination/server_tracking.cpp
+++ b/src/coordination/server_tracking.cpp
@@ -1,95 +1,78 @@
 #include "coordination/server_tracking.hpp"
 
+#include "coordination/cold_start.hpp"
+#include "coordination/ejection.hpp"
 #include "coordination/node.hpp"
 
+#include <algorithm>
+
 namespace acaciaslip::coordination {
 
 namespace {
 
-constexpr std::uint32_t goodAnswersToWarm = 8;
-constexpr std::uint32_t badAnswersToCollapse = 3;
-constexpr int latencyWeight = 8; ///< the newest answer's weight in the average is one in this many
+constexpr int firstServerError = 500;
 
-void learnLatency(state::server_record& server, state::duration latency)
+void forgetUnanswered(state::server_record& server, state::time_point startedAt)
 {
-    if (server.latency == state::duration::zero())
-        server.latency = latency;
-    else
-        server.latency += (latency - server.latency) / latencyWeight;
+    --server.ownInFlight;
+    auto& unanswered = server.unanswered;
+    const auto found = std::find(unanswered.begin(), unanswered.end(), startedAt);
+    if (found != unanswered.end())
+        unanswered.erase(found);
 }
 
-void learnGood(state::server_record& server, state::time_point now)
+void noteGoodAnswer(
+    node& self, state::server_record& server, state::time_point startedAt, state::time_point now, effect_list& effects)
 {
     server.badAnswers = 0;
-    server.lastAnswerAt = now;
-    if (server.condition == state::server_condition::warm)
-        return;
-    if (++server.goodAnswers >= goodAnswersToWarm) {
-        server.condition = state::server_condition::warm;
-        server.conditionReason = "good_answers";
-        server.conditionSince = now;
-    }
+    server.connectFailures = 0;
+    server.shedAnswers = 0;
+    if (server.condition == state::server_condition::cold)
+        noteColdAnswer(self, server, startedAt, now, effects);
+    if (startedAt >= server.epochSince)
+        noteLatency(self, server, now - startedAt, now, effects);
 }
 
-void learnBad(state::server_record& server, state::time_point now)
+void noteAnswer(node& self, state::server_record& server, int status, state::time_point startedAt,
+    state::time_point now, effect_list& effects)
 {
-    server.goodAnswers = 0;
-    if (++server.badAnswers >= badAnswersToCollapse && server.condition == state::server_condition::warm)
-        makeCold(server, "failing", now);
+    server.lastAnswerAt = now;
+    if (status >= firstServerError)
+        noteFailure(self, server, /*connectFailed=*/false, now, effects);
+    else
+        noteGoodAnswer(self, server, startedAt, now, effects);
 }
 
 } // namespace
 
-void makeCold(state::server_record& server, std::string_view reason, state::time_point now)
+void noteAttemptStarted(node& self, state::server_index index, state::time_point now)
 {
-    server.condition = state::server_condition::cold;
-    server.conditionReason = reason;
-    server.conditionSince = now;
-    server.limit = 1;
-    server.goodAnswers = 0;
-}
-
-void noteAttemptStarted(node& self, state::server_index index, state::time_point /*now*/)
-{
-    ++self.fleet.servers[index].ownInFlight;
+    auto& server = self.fleet.servers[index];
+    ++server.ownInFlight;
+    server.unanswered.push_back(now);
 }
 
 void noteAttemptFinished(node& self, state::server_index index, const attempt_finished& finished,
-    state::time_point startedAt, state::time_point now, effect_list& /*effects*/)
+    state::time_point startedAt, state::time_point now, effect_list& effects)
 {
     auto& server = self.fleet.servers[index];
-    --server.ownInFlight;
+    forgetUnanswered(server, startedAt);
     ++self.counters.attemptsByOutcome[finished.outcome];
-    if (finished.outcome == state::attempt_outcome::answered) {
-        learnLatency(server, now - startedAt);
-        learnGood(server, now);
-    } else if (finished.outcome != state::attempt_outcome::cancelled
-        && finished.outcome != state::attempt_outcome::no_connection) {
-        learnBad(server, now);
-    }
-}
-
-void noteProbeFinished(node& self, const probe_finished& finished, state::time_point now, effect_list& /*effects*/)
-{
-    const auto found = self.fleet.serverIndexes.find(finished.server);
-    if (found == self.fleet.serverIndexes.end())
-        return;
-    auto& server = self.fleet.servers[found->second];
-    server.probing = false;
-    if (!finished.answered)
-        return;
-    auto& report = server.report.has_value() ? *server.report : server.report.emplace();
-    report.heardAt = now;
-    if (finished.health) {
-        report.draining = *finished.health == reported_health::draining;
-        report.cold = *finished.health == reported_health::cold;
-    }
-    if (finished.load) {
-        report.inFlight = finished.load->inFlight;
-        report.queued = finished.load->queued;
-        if (!report.boot.empty() && report.boot != finished.load->boot)
-            makeCold(server, "restarted", now);
-        report.boot = finished.load->boot;
+    switch (finished.outcome) {
+    case state::attempt_outcome::answered:
+        return noteAnswer(self, server, finished.status, startedAt, now, effects);
+    case state::attempt_outcome::shed:
+        return noteShedStreak(self, server, now, effects);
+    case state::attempt_outcome::connect_failed:
+        return noteFailure(self, server, /*connectFailed=*/true, now, effects);
+    case state::attempt_outcome::cut:
+    case state::attempt_outcome::mismatched:
+    case state::attempt_outcome::timed_out:
+        return noteFailure(self, server, /*connectFailed=*/false, now, effects);
+    case state::attempt_outcome::no_connection:
+    case state::attempt_outcome::expired:
+    case state::attempt_outcome::cancelled:
+        return; // says nothing of the server
     }
 }
 
@@ -102,16 +85,4 @@
     }
 }
 
-void notePeerConditions(node& self, const state::peer_message& message, state::time_point now, effect_list& /*effects*/)
-{
-    for (const auto& change : message.conditions) {
-        const auto found = self.fleet.serverIndexes.find(change.server);
-        if (found == self.fleet.serverIndexes.end())
-            continue;
-        auto& server = self.fleet.servers[found->second];
-        if (change.condition == state::server_condition::cold && server.condition == state::server_condition::warm)
-            makeCold(server, "peer_saw_cold", now);
-    }
-}
-
 } // namespace acaciaslip::coordination
