Prove that permits of a cold server never have two holders that hear each other

Cause: after a pause the woken holder and the one that stood in for it both had sends decided within 250 ms. Change: a lease that begins anew is used only 300 ms later, and a leaving host counts for 300 ms more.

--- a/src/coordination/permits.cpp
+++ b/src/coordination/permits.cpp
@@ -110,7 +110,7 @@
 
 std::uint32_t coldAllowance(const node& self, const state::server_record& server, state::time_point now)
 {
-    if (now >= self.permits.leaseUntil || !mayHoldPermits(self))
+    if (now >= self.permits.leaseUntil || now < self.permits.usableFrom || !mayHoldPermits(self))
         return 0;
     if (server.ejections > 0 && now < server.ejectedUntil + returnGap)
         return 0;
@@ -127,6 +127,7 @@
     if (!permits.listeningSince)
         permits.listeningSince = now;
     permits.ownHash = hashOf(self.settings.id);
+    const bool hadLease = now < permits.leaseUntil;
     permits.counted.clear();
     permits.leaseUntil = state::time_point::max();
     std::erase_if(permits.heardAt, [&](const auto& entry) { return now - entry.second >= absentAfter; });
@@ -139,6 +140,8 @@
     const auto others = permits.listedSince.size() - permits.listedSince.count(self.settings.id);
     if (others > 0 && permits.heardAt.empty())
         permits.leaseUntil = state::time_point::min();
+    if (!hadLease && now < permits.leaseUntil)
+        permits.usableFrom = now + handoverGap;
     markSent(self, now);
 }
 
@@ -154,10 +157,12 @@
             confirmed = std::max(confirmed, after->at);
         }
     }
-    if (message.leaving)
-        self.permits.heardAt.erase(message.from);
-    else
-        self.permits.heardAt[message.from] = now;
+    auto& heardAt = self.permits.heardAt;
+    const auto found = heardAt.find(message.from);
+    if (!message.leaving)
+        heardAt[message.from] = now;
+    else if (found != heardAt.end())
+        found->second = std::min(found->second, now - absentAfter + handoverGap);
     refreshPermits(self, now);
 }
 
--- a/src/coordination/permits.hpp
+++ b/src/coordination/permits.hpp
@@ -18,6 +18,8 @@
 inline constexpr state::duration permitLease = std::chrono::seconds { 3 };
 /// How long after it was last heard an entry host still counts in the ranking.
 inline constexpr state::duration absentAfter = std::chrono::seconds { 4 };
+/// How long a change of holder leaves permits unused, so that what the former holder decided has been written.
+inline constexpr state::duration handoverGap = std::chrono::milliseconds { 300 };
 /// How long after an ejection a node leaves its permits to others, since peers may not know yet that it is back.
 inline constexpr state::duration returnGap = std::chrono::milliseconds { 2500 };
 
@@ -44,7 +46,9 @@
 ///   the same pace; it holds too for messages that lay in a buffer while A was paused.
 /// - A send decided under a lease writes its first byte within 250 ms (`send_attempt::actBefore`). Hence A writes
 ///   nothing on a permit from `permitLease` + 250 ms on, and B does not leave A out of the ranking before
-///   `absentAfter`, which is larger: the handover gap.
+///   `absentAfter`, which is larger. A node whose lease begins anew waits `handoverGap`, longer than 250 ms, before it
+///   uses it, since whoever held the permits until it was heard may just have decided a send; and a host that says that
+///   it leaves counts for `handoverGap` more.
 /// - A node that has just started holds no lease until each listed host has echoed it or stayed silent for
 ///   `absentAfter`. One that hears nobody while others are listed, or is not listed itself while others are, or leaves,
 ///   holds none at all.
@@ -64,6 +68,7 @@
     std::vector<permit_host> counted; ///< the entry hosts that rank, ours excluded
     std::uint64_t ownHash = 0;
     state::time_point leaseUntil; ///< the earliest end of all leases
+    state::time_point usableFrom; ///< the lease held now may be used from here on
     std::size_t nextRepeated = 0; ///< the server whose condition is repeated next
 };
 
