--- a/src/coordination/cold_start.hpp
+++ b/src/coordination/cold_start.hpp
@@ -12,8 +12,8 @@
 /// How many good answers a holder of a permit must see before a cold server's limit rises one step.
 /// \details Two for a server that has not fallen back; twice as many after each setback, and sixteen while its health
 /// endpoint says that it is cold. The limit doubles up to the slots (1, 2, 4, warm), so a server that answers well is
-/// warm after at most 5 good answers over all nodes with 2 slots, and at most 10 with 4: at each step every holder but
-/// one may stop one answer short.
+/// warm after at most 5 good answers over all nodes with 2 slots, and at most 10 with 4, beside those in flight while
+/// the news travels: at each step every holder but one may stop one answer short.
 [[nodiscard]] std::uint32_t answersToGrow(const state::server_record& server, state::time_point now) noexcept;
 
 /// Learns from a good answer of a cold server to a request that was sent in the present epoch.
--- a/src/coordination/probing.cpp
+++ b/src/coordination/probing.cpp
@@ -53,7 +53,7 @@
     const auto rank = rankAmongListed(self, server);
     if (!rank || *rank >= hosts)
         return {};
-    return seconds(static_cast<double>(readers) / budget);
+    return seconds(std::max(1.0, static_cast<double>(readers) / budget));
 }
 
 state::duration jitter(state::duration interval, random_generator& random)
--- a/src/coordination/probing.hpp
+++ b/src/coordination/probing.hpp
@@ -9,13 +9,13 @@
 
 /// Works out which servers this node reads, and how often, after the lists have changed.
 /// \details A server with a budget of b probes a second is read by floor(b) nodes, at least one: the first of the
-/// *listed* entry hosts by rendezvous hash of (server, host). Each leaves at least n/b seconds, never under one
-/// second when b is at least 1, between its probes. So no window of 1 s holds more than b probes of a server (one,
-/// when b is below 1), however many nodes there are and whomever they hear: a partition changes nothing. There is no
-/// floor to a node's share, since any floor would break the total.
+/// *listed* entry hosts by rendezvous hash of (server, host). Each leaves at least a second between its probes, 1/b
+/// seconds when b is below 1. So no window of 1 s holds more than b probes of a server (one, when b is below 1),
+/// however many nodes there are and whomever they hear: a partition changes nothing. There is no floor to a node's
+/// share, since any floor would break the total.
 ///
 /// A node that takes up a server waits `probeHandover` first, in which those that read it before have seen the newer
-/// list. A node that acts on a list older than that adds at most its own share: one probe each n/b seconds. A new
+/// list. A node that acts on a list older than that adds at most its own share: one probe an interval. A new
 /// process starts with no probe saved up, and after a pause sends one probe, not those it missed.
 void assignProbes(node& self, state::time_point now);
 
--- /dev/null
+++ b/tests/coordination/cold_start_test.cpp
@@ -0,0 +1,302 @@
+#include "coordination/cold_start.hpp"
+
+#include "coordination/conditions.hpp"
+#include "coordination/node_group.hpp"
+#include "coordination/reports.hpp"
+#include "coordination/server_tracking.hpp"
+
+#include <algorithm>
+
+#include <gtest/gtest.h>
+
+namespace acaciaslip::coordination {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class cold_start_test : public testing::Test {
+protected:
+    void startNodes(std::size_t count, std::uint32_t slots = 4, std::size_t servers = 6)
+    {
+        m_published.services = { node_group::service("maps") };
+        m_published.services[0].slots = slots;
+        for (std::size_t index = 0; index < servers; ++index)
+            m_published.hosts.push_back(node_group::serverHost(index, "maps", index % 3));
+        for (std::size_t index = 0; index < count; ++index)
+            m_published.hosts.push_back(node_group::entryHost(index));
+        for (std::size_t index = 0; index < count; ++index)
+            m_group.add(m_published);
+        m_group.run(seconds { 5 });
+    }
+
+    state::server_record& server(std::size_t index, const std::string& id = "maps-0")
+    {
+        return m_group.server(index, id);
+    }
+
+    /// Sends one request from a node to a server and has it end so.
+    void finish(std::size_t index, state::attempt_outcome outcome, state::duration time = milliseconds { 10 },
+        int status = 200, const std::string& id = "maps-0")
+    {
+        auto& self = m_group.at(index).self;
+        const auto position = self.fleet.serverIndexes.at(id);
+        const auto startedAt = m_group.now;
+        noteAttemptStarted(self, position, startedAt);
+        m_group.run(time);
+        effect_list effects;
+        noteAttemptFinished(self, position, { {}, outcome, status, nullptr }, startedAt, m_group.now, effects);
+        m_group.send(index, effects);
+    }
+
+    void warmEverywhere(const std::string& id = "maps-0")
+    {
+        auto& self = m_group.at(0).self;
+        effect_list effects;
+        while (server(0, id).condition != state::server_condition::warm)
+            grow(self, server(0, id), m_group.now, effects);
+        m_group.send(0, effects);
+        m_group.run(milliseconds { 50 });
+    }
+
+    void probe(std::size_t index, const probe_finished& finished) { m_group.give(index, finished); }
+
+    std::size_t countIn(state::server_condition condition, const std::string& id = "maps-0")
+    {
+        std::size_t found = 0;
+        for (std::size_t index = 0; index < m_group.size(); ++index)
+            found += server(index, id).condition == condition ? 1 : 0;
+        return found;
+    }
+
+    /// Answers well at every holder in turn; how many answers until the server is warm.
+    int answersToWarm()
+    {
+        int answers = 0;
+        while (server(0).condition != state::server_condition::warm && answers < 100) {
+            for (std::size_t index = 0; index < m_group.size(); ++index) {
+                const bool isCold = server(index).condition == state::server_condition::cold;
+                if (!isCold || coldAllowance(m_group.at(index).self, server(index), m_group.now) == 0)
+                    continue;
+                ++answers;
+                finish(index, state::attempt_outcome::answered);
+                m_group.run(milliseconds { 10 });
+            }
+        }
+        return answers;
+    }
+
+    state::fleet_settings m_published;
+    node_group m_group;
+};
+
+TEST_F(cold_start_test, Server_TwoSlotsAnswersWell_IsWarmAfterFiveAnswersAtMost)
+{
+    startNodes(4, 2);
+    EXPECT_LE(answersToWarm(), 5);
+    EXPECT_EQ(countIn(state::server_condition::warm), 4U);
+}
+
+TEST_F(cold_start_test, Server_FourSlotsAnswersWell_IsWarmAfterTenAnswersAtMost)
+{
+    startNodes(5, 4);
+    EXPECT_LE(answersToWarm(), 10);
+    EXPECT_EQ(countIn(state::server_condition::warm), 5U);
+}
+
+TEST_F(cold_start_test, Server_ReportsColdForEver_IsWarmAllTheSameAfterManyAnswers)
+{
+    startNodes(2, 2);
+    for (std::size_t index = 0; index < 2; ++index)
+        probe(index, { "maps-0", true, reported_health::cold, std::nullopt });
+    EXPECT_EQ(answersToGrow(server(0), m_group.now), 16U);
+    EXPECT_LE(answersToWarm(), 100);
+}
+
+TEST_F(cold_start_test, Collapse_LateNewsOfGrowth_IsVoid)
+{
+    startNodes(3);
+    warmEverywhere();
+    const auto late = describeCondition(server(1), m_group.now);
+    probe(0, { "maps-0", true, std::nullopt, reported_load { 0, 0, 4, "boot-1" } });
+    probe(0, { "maps-0", true, std::nullopt, reported_load { 0, 0, 4, "boot-2" } });
+    m_group.run(milliseconds { 20 });
+    EXPECT_EQ(countIn(state::server_condition::cold), 3U);
+    state::peer_message message;
+    message.from = "entry-2";
+    message.conditions = { late };
+    effect_list effects;
+    notePeerConditions(m_group.at(1).self, message, m_group.now, effects);
+    EXPECT_EQ(server(1).condition, state::server_condition::cold);
+    EXPECT_EQ(server(1).limit, 1U);
+}
+
+TEST_F(cold_start_test, Collapse_AnswerToEarlierRequest_DoesNotCount)
+{
+    startNodes(1);
+    auto& self = m_group.at(0).self;
+    const auto index = self.fleet.serverIndexes.at("maps-0");
+    effect_list effects;
+    for (int count = 0; count < 8; ++count)
+        noteAttemptStarted(self, index, m_group.now);
+    const auto startedAt = m_group.now;
+    m_group.run(milliseconds { 10 });
+    collapse(self, server(0), "restarted", m_group.now, effects);
+    for (int count = 0; count < 8; ++count)
+        noteAttemptFinished(self, index, { {}, state::attempt_outcome::answered, 200, nullptr }, startedAt,
+            m_group.now + milliseconds { 5 }, effects);
+    EXPECT_EQ(server(0).limit, 1U);
+    EXPECT_EQ(server(0).goodAnswers, 0U);
+}
+
+TEST_F(cold_start_test, Growth_MessageLost_IsRepeatedWithHeartbeats)
+{
+    startNodes(3);
+    m_group.isCut = [](std::size_t, std::size_t) { return true; };
+    warmEverywhere();
+    EXPECT_EQ(countIn(state::server_condition::warm), 1U);
+    m_group.isCut = [](std::size_t, std::size_t) { return false; };
+    m_group.run(seconds { 2 });
+    EXPECT_EQ(countIn(state::server_condition::warm), 3U);
+}
+
+TEST_F(cold_start_test, Node_RestartsEmpty_LearnsWarmServersFromPeers)
+{
+    startNodes(3);
+    warmEverywhere();
+    m_group.start(2, m_published);
+    EXPECT_EQ(server(2).condition, state::server_condition::cold);
+    m_group.run(seconds { 2 });
+    EXPECT_EQ(server(2).condition, state::server_condition::warm);
+}
+
+TEST_F(cold_start_test, Server_BootChanges_CollapsesOnceOnAllNodes)
+{
+    startNodes(3);
+    for (std::size_t index = 0; index < 3; ++index)
+        probe(index, { "maps-0", true, std::nullopt, reported_load { 0, 0, 4, "boot-1" } });
+    warmEverywhere();
+    probe(0, { "maps-0", true, std::nullopt, reported_load { 0, 0, 4, "boot-2" } });
+    m_group.run(milliseconds { 20 });
+    EXPECT_EQ(countIn(state::server_condition::cold), 3U);
+    const auto epoch = server(0).epoch;
+    // A second reader sees the same restart, and a lagging endpoint the boot before.
+    probe(1, { "maps-0", true, std::nullopt, reported_load { 0, 0, 4, "boot-2" } });
+    probe(2, { "maps-0", true, std::nullopt, reported_load { 0, 0, 4, "boot-1" } });
+    m_group.run(milliseconds { 20 });
+    EXPECT_EQ(server(0).epoch, epoch);
+    EXPECT_EQ(server(2).epoch, epoch);
+}
+
+TEST_F(cold_start_test, WarmServer_ShedsThreeInARow_CollapsesOnAllNodes)
+{
+    startNodes(3);
+    for (int number = 0; number < 6; ++number)
+        warmEverywhere("maps-" + std::to_string(number));
+    for (int count = 0; count < 3; ++count)
+        finish(0, state::attempt_outcome::shed);
+    m_group.run(milliseconds { 10 });
+    EXPECT_EQ(countIn(state::server_condition::cold), 3U);
+}
+
+TEST_F(cold_start_test, WarmServer_LeavesRequestUnanswered_Collapses)
+{
+    startNodes(2);
+    for (int number = 0; number < 6; ++number)
+        warmEverywhere("maps-" + std::to_string(number));
+    auto& self = m_group.at(0).self;
+    finish(0, state::attempt_outcome::answered);
+    noteAttemptStarted(self, self.fleet.serverIndexes.at("maps-0"), m_group.now);
+    m_group.run(milliseconds { 200 });
+    EXPECT_EQ(server(0).condition, state::server_condition::warm);
+    m_group.run(milliseconds { 200 });
+    EXPECT_EQ(server(0).conditionReason, "stall");
+    EXPECT_EQ(countIn(state::server_condition::cold), 2U);
+}
+
+TEST_F(cold_start_test, WarmServer_BecomesSlow_Collapses)
+{
+    startNodes(2);
+    for (int number = 0; number < 6; ++number)
+        warmEverywhere("maps-" + std::to_string(number));
+    for (int count = 0; count < 50; ++count)
+        finish(0, state::attempt_outcome::answered, milliseconds { 10 });
+    for (int count = 0; count < 8 && server(0).condition == state::server_condition::warm; ++count)
+        finish(0, state::attempt_outcome::answered, milliseconds { 200 });
+    EXPECT_EQ(server(0).conditionReason, "latency_jump");
+}
+
+TEST_F(cold_start_test, WarmServer_HealthTurnsCold_CollapsesOnAllNodes)
+{
+    startNodes(3);
+    for (int number = 0; number < 6; ++number)
+        warmEverywhere("maps-" + std::to_string(number));
+    probe(1, { "maps-0", true, reported_health::cold, std::nullopt });
+    m_group.run(milliseconds { 10 });
+    EXPECT_EQ(countIn(state::server_condition::cold), 3U);
+}
+
+TEST_F(cold_start_test, WholeService_Overloaded_StaysWarmByHalf)
+{
+    startNodes(1);
+    for (int number = 0; number < 6; ++number)
+        warmEverywhere("maps-" + std::to_string(number));
+    int warm = 0;
+    for (int number = 0; number < 6; ++number) {
+        const auto id = "maps-" + std::to_string(number);
+        for (int count = 0; count < 5; ++count)
+            finish(0, state::attempt_outcome::shed, milliseconds { 1 }, 503, id);
+        warm += server(0, id).condition == state::server_condition::warm ? 1 : 0;
+    }
+    EXPECT_EQ(warm, 3);
+}
+
+TEST_F(cold_start_test, ColdServer_ShedsAboveOne_FallsBackAndGrowsMoreSlowly)
+{
+    startNodes(1);
+    finish(0, state::attempt_outcome::answered);
+    finish(0, state::attempt_outcome::answered);
+    EXPECT_EQ(server(0).limit, 2U);
+    const auto before = answersToGrow(server(0), m_group.now);
+    finish(0, state::attempt_outcome::shed);
+    EXPECT_EQ(server(0).limit, 1U);
+    finish(0, state::attempt_outcome::answered);
+    finish(0, state::attempt_outcome::answered);
+    finish(0, state::attempt_outcome::shed);
+    EXPECT_GT(answersToGrow(server(0), m_group.now), before);
+}
+
+/// The merge of news: any order and any repetition of the same messages ends in the same state.
+TEST_F(cold_start_test, News_ReorderedAndDoubled_EndsTheSame)
+{
+    startNodes(3);
+    std::vector<state::condition_change> news;
+    effect_list effects;
+    auto& source = m_group.at(0).self;
+    for (int round = 0; round < 4; ++round) {
+        grow(source, server(0), m_group.now, effects);
+        news.push_back(describeCondition(server(0), m_group.now));
+        if (round % 2 == 1)
+            collapse(source, server(0), "restarted", m_group.now, effects);
+        news.push_back(describeCondition(server(0), m_group.now));
+    }
+    random_generator random { 7 };
+    for (int trial = 0; trial < 50; ++trial) {
+        m_group.start(1, m_published);
+        auto shuffled = news;
+        shuffled.insert(shuffled.end(), news.begin(), news.end());
+        std::shuffle(shuffled.begin(), shuffled.end(), random);
+        for (const auto& change : shuffled) {
+            state::peer_message message;
+            message.from = "entry-0";
+            message.conditions = { change };
+            notePeerConditions(m_group.at(1).self, message, m_group.now, effects);
+        }
+        EXPECT_EQ(server(1).epoch, server(0).epoch);
+        EXPECT_EQ(server(1).limit, server(0).limit);
+        EXPECT_EQ(server(1).condition, server(0).condition);
+    }
+}
+
+} // namespace
+} // namespace acaciaslip::coordination
--- a/tests/coordination/node_group.hpp
+++ b/tests/coordination/node_group.hpp
@@ -99,6 +99,12 @@
         effect_list effects;
         auto& taker = *m_members[index];
         handle(taker.self, happened, now, taker.random, effects);
+        send(index, effects);
+    }
+
+    /// Posts datagrams and hands every other effect to the test.
+    void send(std::size_t index, const effect_list& effects)
+    {
         for (const auto& wanted : effects) {
             if (const auto* tell = std::get_if<tell_peer>(&wanted))
                 m_posts.push_back({ now + delay, index, *tell });
