--- a/src/coordination/cold_start.cpp
+++ b/src/coordination/cold_start.cpp
@@ -2,6 +2,7 @@
 
 #include "coordination/conditions.hpp"
 #include "coordination/ejection.hpp"
+#include "coordination/load_estimate.hpp"
 #include "coordination/node.hpp"
 
 #include <algorithm>
@@ -14,8 +15,7 @@
 constexpr std::uint32_t answersWhileReportedCold = 16;
 constexpr state::duration reportLife = std::chrono::seconds { 3 };
 constexpr std::uint32_t shedAnswersToCollapse = 3;
-constexpr int latencyWeight = 8; ///< the newest answer's weight in the average is one in this many
-constexpr int usualLatencyWeight = 128;
+constexpr int usualLatencyWeight = 128; ///< the newest answer counts one in this many
 constexpr int jumpFactor = 6; ///< the average over the usual latency at which a server counts as cold again
 constexpr state::duration leastJump = std::chrono::milliseconds { 50 };
 constexpr int stallFactor = 10;
@@ -82,9 +82,9 @@
 void noteLatency(
     node& self, state::server_record& server, state::duration latency, state::time_point now, effect_list& effects)
 {
-    average(server.latency, latency, latencyWeight);
+    learnLatency(server.load, latency, now);
     const bool jumped = server.usualLatency != state::duration::zero()
-        && server.latency > std::max(server.usualLatency * jumpFactor, server.usualLatency + leastJump);
+        && server.load.latency > std::max(server.usualLatency * jumpFactor, server.usualLatency + leastJump);
     average(server.usualLatency, latency, usualLatencyWeight);
     if (jumped && mayCollapse(self, server))
         collapse(self, server, "latency_jump", now, effects);
@@ -92,9 +92,9 @@
 
 void reviewStall(node& self, state::server_record& server, state::time_point now, effect_list& effects)
 {
-    if (server.unanswered.empty() || server.unanswered.front() < server.epochSince)
+    if (server.load.runningSince.empty() || server.load.runningSince.front() < server.epochSince)
         return;
-    if (now - server.unanswered.front() > stallTime(server) && mayCollapse(self, server))
+    if (now - server.load.runningSince.front() > stallTime(server) && mayCollapse(self, server))
         collapse(self, server, "stall", now, effects);
 }
 
--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -1,6 +1,7 @@
 #include "coordination/membership.hpp"
 
 #include "coordination/conditions.hpp"
+#include "coordination/load_estimate.hpp"
 #include "coordination/node.hpp"
 #include "coordination/permits.hpp"
 #include "coordination/server_tracking.hpp"
@@ -18,7 +19,6 @@
     message.from = self.settings.id;
     message.incarnation = self.incarnation;
     message.sequence = self.nextSequence++;
-    message.dataCentre = self.settings.dataCentre;
     message.leaving = self.phase >= node_phase::lame_duck;
     return message;
 }
@@ -27,7 +27,7 @@
 {
     for (const auto& server : self.fleet.servers) {
         if (server.listing != state::host_listing::absent)
-            message.loads.push_back({ server.id, server.ownInFlight });
+            message.loads.push_back({ tagOf(server.id), server.ownInFlight });
     }
 }
 
@@ -60,6 +60,11 @@
     notePeerConditions(self, message, now, effects);
 }
 
+void noteDatagramRefused(node& self, const datagram_refused& /*refused*/)
+{
+    ++self.counters.peerMessagesDropped;
+}
+
 void tellPeers(node& self, state::time_point now, random_generator& /*random*/, effect_list& effects)
 {
     for (auto& [id, peer] : self.peers) {
--- a/src/coordination/node.hpp
+++ b/src/coordination/node.hpp
@@ -3,8 +3,10 @@
 #include "coordination/effects.hpp"
 #include "coordination/events.hpp"
 #include "coordination/forward_declarations.hpp"
+#include "coordination/freshness.hpp"
 #include "coordination/permits.hpp"
 #include "coordination/server_review.hpp"
+#include "coordination/server_tags.hpp"
 #include "state/fleet.hpp"
 #include "state/node_settings.hpp"
 #include "state/peer_table.hpp"
@@ -78,12 +80,14 @@
 
     state::value_table values;
     state::fleet fleet;
+    server_tags serverTags;
     state::request_ledger requests;
     state::peer_table peers;
     std::uint64_t nextSequence = 1;
     spread_state spread;
     permit_state permits;
     review_state review;
+    freshness_state freshness;
     node_counters counters;
 };
 
--- a/src/coordination/permits.cpp
+++ b/src/coordination/permits.cpp
@@ -64,7 +64,7 @@
 std::uint32_t peersInFlight(const state::server_record& server, state::time_point now)
 {
     std::uint32_t total = 0;
-    for (const auto& [id, load] : server.peerLoads) {
+    for (const auto& [id, load] : server.load.peers) {
         if (load.inFlight == 0)
             continue;
         if (now - load.heardAt < absentAfter)
--- a/src/coordination/server_tracking.cpp
+++ b/src/coordination/server_tracking.cpp
@@ -2,25 +2,15 @@
 
 #include "coordination/cold_start.hpp"
 #include "coordination/ejection.hpp"
+#include "coordination/load_estimate.hpp"
 #include "coordination/node.hpp"
 
-#include <algorithm>
-
 namespace acaciaslip::coordination {
 
 namespace {
 
 constexpr int firstServerError = 500;
 
-void forgetUnanswered(state::server_record& server, state::time_point startedAt)
-{
-    --server.ownInFlight;
-    auto& unanswered = server.unanswered;
-    const auto found = std::find(unanswered.begin(), unanswered.end(), startedAt);
-    if (found != unanswered.end())
-        unanswered.erase(found);
-}
-
 void noteGoodAnswer(
     node& self, state::server_record& server, state::time_point startedAt, state::time_point now, effect_list& effects)
 {
@@ -49,14 +39,15 @@
 {
     auto& server = self.fleet.servers[index];
     ++server.ownInFlight;
-    server.unanswered.push_back(now);
+    addRunning(server.load, now);
 }
 
 void noteAttemptFinished(node& self, state::server_index index, const attempt_finished& finished,
     state::time_point startedAt, state::time_point now, effect_list& effects)
 {
     auto& server = self.fleet.servers[index];
-    forgetUnanswered(server, startedAt);
+    --server.ownInFlight;
+    removeRunning(server.load, startedAt);
     ++self.counters.attemptsByOutcome[finished.outcome];
     switch (finished.outcome) {
     case state::attempt_outcome::answered:
@@ -76,13 +67,4 @@
     }
 }
 
-void notePeerLoads(node& self, const state::peer_message& message, state::time_point now)
-{
-    for (const auto& load : message.loads) {
-        const auto found = self.fleet.serverIndexes.find(load.server);
-        if (found != self.fleet.serverIndexes.end())
-            self.fleet.servers[found->second].peerLoads[message.from] = { load.inFlight, now };
-    }
-}
-
 } // namespace acaciaslip::coordination
--- a/src/coordination/server_tracking.hpp
+++ b/src/coordination/server_tracking.hpp
@@ -17,7 +17,4 @@
 void noteAttemptFinished(node& self, state::server_index index, const attempt_finished& finished,
     state::time_point startedAt, state::time_point now, effect_list& effects);
 
-/// Takes what a peer says it has in flight.
-void notePeerLoads(node& self, const state::peer_message& message, state::time_point now);
-
 } // namespace acaciaslip::coordination
--- a/src/state/server_record.hpp
+++ b/src/state/server_record.hpp
@@ -3,6 +3,7 @@
 #include "state/enum_names.hpp"
 #include "state/fleet_settings.hpp"
 #include "state/identifiers.hpp"
+#include "state/load_state.hpp"
 #include "state/time.hpp"
 
 #include <array>
@@ -10,8 +11,6 @@
 #include <string>
 #include <vector>
 
-#include <absl/container/flat_hash_map.h>
-
 namespace acaciaslip::state {
 
 /// How much a server is trusted with.
@@ -27,12 +26,6 @@
     { server_condition::ejected, "ejected" },
 } };
 
-/// What a peer last said it has in flight on a server.
-struct peer_load {
-    std::uint32_t inFlight = 0;
-    time_point heardAt;
-};
-
 /// What a server's own endpoints last said; lags and may mislead.
 struct server_report {
     bool draining = false; ///< believed: takes no new work
@@ -85,9 +78,7 @@
     absl::flat_hash_map<host_id, time_point> ejectedBy; ///< peers that send it nothing, and until when
 
     std::uint32_t ownInFlight = 0; ///< exact
-    std::vector<time_point> unanswered; ///< when each of this node's requests in flight was sent, oldest first
-    absl::flat_hash_map<host_id, peer_load> peerLoads;
-    duration latency {}; ///< moving average of whole answers
+    load_state load;
     duration usualLatency {}; ///< slow moving average, to judge a jump by
     std::optional<time_point> lastAnswerAt;
     std::optional<server_report> report;
--- a/tests/coordination/node_group.hpp
+++ b/tests/coordination/node_group.hpp
@@ -91,7 +91,11 @@
     void publishTo(std::size_t index, const state::fleet_settings& published)
     {
         m_members[index]->published = published;
-        give(index, value_received { "acaciaslip/hosts", ++m_revision, "-" });
+        value_received received;
+        received.key = "acaciaslip/hosts";
+        received.number = ++m_revision;
+        received.askedAt = now;
+        give(index, received);
     }
 
     void give(std::size_t index, const event& happened)
--- a/tests/coordination/permits_test.cpp
+++ b/tests/coordination/permits_test.cpp
@@ -215,7 +215,7 @@
     startNodes(2);
     const auto holder = holders().at(0);
     EXPECT_EQ(allowance(holder), 1U);
-    m_group.server(holder, "maps-0").peerLoads["entry-9"] = { 1, m_group.now };
+    m_group.server(holder, "maps-0").load.peers["entry-9"] = { 1, 1, m_group.now };
     EXPECT_EQ(allowance(holder), 0U);
 }
 
