--- a/src/coordination/picking.cpp
+++ b/src/coordination/picking.cpp
@@ -2,6 +2,7 @@
 
 #include "coordination/load_estimate.hpp"
 #include "coordination/node.hpp"
+#include "coordination/permits.hpp"
 
 #include <algorithm>
 
@@ -25,17 +26,17 @@
     return server.ownInFlight < server.load.slotPermits;
 }
 
-bool hasRoom(const node& self, const state::server_record& server)
+bool hasRoom(const node& self, const state::server_record& server, state::time_point now)
 {
     if (server.condition == state::server_condition::cold)
-        return estimateInFlight(server.load) < server.limit;
+        return server.ownInFlight < coldAllowance(self, server, now);
     return hasFreePermit(server) || estimateInFlight(server.load) < loadPerSlotLimit * slotsOf(self, server);
 }
 
-bool mayTake(const node& self, const state::request& request, state::server_index index)
+bool mayTake(const node& self, const state::request& request, state::server_index index, state::time_point now)
 {
     const auto& server = self.fleet.servers[index];
-    return isCandidate(server) && hasRoom(self, server)
+    return isCandidate(server) && hasRoom(self, server, now)
         && std::find(request.tried.begin(), request.tried.end(), index) == request.tried.end();
 }
 
@@ -81,7 +82,7 @@
     double bestScore = 0;
     std::uint32_t ties = 0;
     for (const auto index : service.members) {
-        if (!mayTake(self, request, index))
+        if (!mayTake(self, request, index, now))
             continue;
         const double found = score(self, self.fleet.servers[index], usual, now);
         const bool tied = best && std::abs(found - bestScore) <= tieShare * bestScore;
