--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -22,11 +22,7 @@
 
     void operator()(const request_arrived& arrived) const { admitRequest(self, arrived, now, random, effects); }
     void operator()(const caller_gone& gone) const { noteCallerGone(self, gone, now, effects); }
-    void operator()(const attempt_finished& finished) const
-    {
-        noteAttemptResult(self, finished, now, random, effects);
-        advanceRequests(self, now, random, effects);
-    }
+    void operator()(const attempt_finished& finished) const { noteAttemptResult(self, finished, now, random, effects); }
     void operator()(const probe_finished& finished) const { noteProbeFinished(self, finished, now, effects); }
     void operator()(const peer_message_received& received) const { notePeerMessage(self, received, now, effects); }
     void operator()(const datagram_refused& refused) const { noteDatagramRefused(self, refused); }
@@ -36,7 +32,7 @@
     void operator()(const drain_requested&) const { beginStop(self, now, effects); }
     void operator()(const tick&) const
     {
-        advanceRequests(self, now, random, effects);
+        serveAllWaiting(self, now, random, effects);
         planReads(self, now, random, effects);
         reviewServers(self, now, random, effects);
         tellPeers(self, now, random, effects);
@@ -60,6 +56,7 @@
     noteTimePassed(self, now, random, effects);
     self.lastEventAt = now;
     std::visit(dispatch { self, now, random, effects }, happened);
+    advanceDueRequests(self, now, random, effects);
 }
 
 } // namespace acaciaslip::coordination
