--- a/src/coordination/node.hpp
+++ b/src/coordination/node.hpp
@@ -4,6 +4,8 @@
 #include "coordination/events.hpp"
 #include "coordination/forward_declarations.hpp"
 #include "coordination/freshness.hpp"
+#include "coordination/permits.hpp"
+#include "coordination/server_review.hpp"
 #include "coordination/server_tags.hpp"
 #include "state/fleet.hpp"
 #include "state/node_settings.hpp"
@@ -84,6 +86,8 @@
     state::peer_table peers;
     std::uint64_t nextSequence = 1;
     spread_state spread;
+    permit_state permits;
+    review_state review;
     freshness_state freshness;
     node_counters counters;
 };
--- a/src/state/peer_message.hpp
+++ b/src/state/peer_message.hpp
@@ -3,6 +3,7 @@
 #include "state/identifiers.hpp"
 #include "state/server_record.hpp"
 
+#include <array>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -20,12 +21,27 @@
     [[nodiscard]] bool operator==(const load_delta&) const = default;
 };
 
+/// What the sender has just read from a server's health endpoint.
+enum class told_health {
+    unread, ///< the sender has not read it lately
+    working,
+    draining,
+};
+
+inline constexpr std::array<enum_name<told_health>, 3> toldHealthNames { {
+    { told_health::unread, "unread" },
+    { told_health::working, "working" },
+    { told_health::draining, "draining" },
+} };
+
 /// A server's condition changed at the sender.
 struct condition_change {
     host_id server;
     server_condition condition = server_condition::cold;
     std::uint32_t limit = 1;
     std::string boot; ///< the server's boot id that this speaks of; empty when unknown
+    told_health health = told_health::unread;
+    std::uint64_t epoch = 0; ///< rises with every collapse; news of a lower one is void
 
     [[nodiscard]] bool operator==(const condition_change&) const = default;
 };
@@ -53,6 +69,8 @@
     std::uint64_t incarnation = 0; ///< rises with each start of the sender
     std::uint64_t sequence = 0; ///< rises with each message of an incarnation
     bool leaving = false;
+    std::uint64_t echoIncarnation = 0; ///< the receiver's, as the sender last heard it; 0: never heard
+    std::uint64_t echoSequence = 0; ///< the newest of the receiver's messages that the sender has taken
     std::uint64_t question = 0; ///< not 0: answer at once with every revision that matters
     std::uint64_t answerTo = 0; ///< not 0: the question that this answers
     std::vector<load_delta> loads;
