--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -1,6 +1,9 @@
 #include "coordination/membership.hpp"
 
+#include "coordination/conditions.hpp"
+#include "coordination/load_estimate.hpp"
 #include "coordination/node.hpp"
+#include "coordination/permits.hpp"
 #include "coordination/server_tracking.hpp"
 
 namespace acaciaslip::coordination {
@@ -8,6 +11,7 @@
 namespace {
 
 constexpr state::duration heartbeatInterval = std::chrono::milliseconds { 100 };
+constexpr std::size_t repeatedConditions = 8; ///< in one heartbeat
 
 state::peer_message makeMessage(node& self)
 {
@@ -15,7 +19,6 @@
     message.from = self.settings.id;
     message.incarnation = self.incarnation;
     message.sequence = self.nextSequence++;
-    message.dataCentre = self.settings.dataCentre;
     message.leaving = self.phase >= node_phase::lame_duck;
     return message;
 }
@@ -24,7 +27,7 @@
 {
     for (const auto& server : self.fleet.servers) {
         if (server.listing != state::host_listing::absent)
-            message.loads.push_back({ server.id, server.ownInFlight });
+            message.loads.push_back({ tagOf(server.id), server.ownInFlight });
     }
 }
 
@@ -53,9 +56,15 @@
     peer.leaving = message.leaving;
     peer.heardAt = now;
     notePeerLoads(self, message, now);
+    noteEcho(self, message, now);
     notePeerConditions(self, message, now, effects);
 }
 
+void noteDatagramRefused(node& self, const datagram_refused& /*refused*/)
+{
+    ++self.counters.peerMessagesDropped;
+}
+
 void tellPeers(node& self, state::time_point now, random_generator& /*random*/, effect_list& effects)
 {
     for (auto& [id, peer] : self.peers) {
@@ -63,7 +72,10 @@
             continue;
         peer.nextTellAt = now + heartbeatInterval;
         auto message = makeMessage(self);
+        message.echoIncarnation = peer.incarnation;
+        message.echoSequence = peer.sequence;
         addLoads(self, message);
+        message.conditions = conditionsToRepeat(self, repeatedConditions, now);
         ++self.counters.peerMessagesSent;
         effects.emplace_back(tell_peer { peer.address, std::move(message) });
     }
--- a/src/coordination/node.hpp
+++ b/src/coordination/node.hpp
@@ -3,6 +3,10 @@
 #include "coordination/effects.hpp"
 #include "coordination/events.hpp"
 #include "coordination/forward_declarations.hpp"
+#include "coordination/freshness.hpp"
+#include "coordination/permits.hpp"
+#include "coordination/server_review.hpp"
+#include "coordination/server_tags.hpp"
 #include "state/fleet.hpp"
 #include "state/node_settings.hpp"
 #include "state/peer_table.hpp"
@@ -48,6 +52,7 @@
     std::map<state::attempt_outcome, std::uint64_t> attemptsByOutcome;
     std::uint64_t retries = 0;
     std::uint64_t hedges = 0;
+    std::uint64_t callersGone = 0; ///< callers that closed before their request ended
     std::uint64_t probes = 0;
     std::uint64_t platformReads = 0;
     std::uint64_t peerMessagesSent = 0;
@@ -76,10 +81,14 @@
 
     state::value_table values;
     state::fleet fleet;
+    server_tags serverTags;
     state::request_ledger requests;
     state::peer_table peers;
     std::uint64_t nextSequence = 1;
     spread_state spread;
+    permit_state permits;
+    review_state review;
+    freshness_state freshness;
     node_counters counters;
 };
 
