Keep a request's version in its checked head

Cause: a checked HTTP/1.0 head without a Host was written as HTTP/1.1, which asks for one. Change: the version is kept. Found by the seeded changes of a good head, which failed on it and pass now.

--- a/src/protocol/http_head.cpp
+++ b/src/protocol/http_head.cpp
@@ -328,7 +328,8 @@
         return refuse("a header that may stand once stands twice");
     if (const auto refusal = readRequestFraming(found, limits, head))
         return *refusal;
-    head.checked.append(head.method).append(" ").append(escapeTarget(head.target)).append(" HTTP/1.1\r\n");
+    head.checked.append(head.method).append(" ").append(escapeTarget(head.target));
+    head.checked.append(head.isHttp11 ? " HTTP/1.1\r\n" : " HTTP/1.0\r\n");
     for (const auto& [name, value] : fields) {
         if (!tellsLength(name) && !equalsIgnoringCase(name.substr(0, ownPrefix.size()), ownPrefix))
             appendField(head.checked, equalsIgnoringCase(name, "Range") ? rangeAlias : name, value);
