--- /dev/null
+++ b/src/app/dump_table.cpp
@@ -0,0 +1,123 @@
+#include "app/dump_table.hpp"
+
+#include "app/dump_reading.hpp"
+#include "app/text_table.hpp"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+namespace acaciaslip::app {
+
+namespace {
+
+using nlohmann::json;
+
+std::string age(const json& object, std::string_view key)
+{
+    return formatAge(readNumber(object, key));
+}
+
+std::string decimal(const json& object, std::string_view key)
+{
+    const auto number = readNumber(object, key);
+    return number ? fmt::format("{:.2f}", *number) : "-";
+}
+
+std::string writeHead(const json& dump)
+{
+    std::string text = fmt::format("{} in {}: {} for {}\n", readText(dump, "id"), readText(dump, "data_centre"),
+        readText(dump, "phase"), age(dump, "phase_age_ms"));
+    text += fmt::format("  requests in progress {}, attempts {}; peers heard {} of {}; entry hosts listed {}\n",
+        readCount(dump, "requests_in_progress"), readCount(dump, "attempts_in_progress"), countHeard(dump),
+        readPart(dump, "peers").size(), readCount(dump, "entry_hosts_listed"));
+    const auto troubles = findTroubles(dump);
+    if (!troubles.empty())
+        text += "\nATTENTION\n";
+    for (const auto& trouble : troubles)
+        text += fmt::format("  {}\n", trouble);
+    return text;
+}
+
+std::string writeServers(const json& dump)
+{
+    text_table table(
+        { "server", "service", "data centre", "new work", "condition", "why", "for", "own", "peers", "permits", "limit",
+            "slots", "latency", "oldest", "answered", "report", "queued", "probes", "tokens", "a second" });
+    std::vector<std::pair<std::string, const json*>> sorted;
+    for (const auto& [id, server] : readPart(dump, "servers").items())
+        sorted.emplace_back(id, &server);
+    std::stable_sort(sorted.begin(), sorted.end(), [](const auto& left, const auto& right) {
+        return !findHandicap(*left.second).empty() && findHandicap(*right.second).empty();
+    });
+    for (const auto& [id, found] : sorted) {
+        const auto& server = *found;
+        const auto handicap = findHandicap(server);
+        const auto& report = readPart(server, "report");
+        table.add({ id, readText(server, "team") + '/' + readText(server, "service"), readText(server, "data_centre"),
+            readFlag(server, "takes_new_work") ? (handicap.empty() ? "yes" : handicap) : "no: " + handicap,
+            readText(server, "condition"), readText(server, "reason"), age(server, "condition_age_ms"),
+            readCount(server, "in_flight"), readCount(server, "peers_in_flight"), readCount(server, "cold_allowance"),
+            readCount(server, "limit"), readCount(server, "slots"), age(server, "latency_ms"),
+            age(server, "oldest_unanswered_ms"), age(server, "last_answer_age_ms"), age(report, "age_ms"),
+            readCount(report, "queued"), readCount(server, "probes_spent"), decimal(server, "probe_tokens"),
+            decimal(server, "probes_allowed_per_second") });
+    }
+    return table.empty() ? "  none\n" : table.write();
+}
+
+std::string writeServices(const json& dump)
+{
+    text_table table({ "service", "route", "servers", "waiting", "of", "retry tokens", "hedge tokens", "idempotent",
+        "timeout", "hedge" });
+    for (const auto& [name, service] : readPart(dump, "services").items()) {
+        const bool active = readFlag(service, "active");
+        table.add({ name, active ? readText(service, "host") + readText(service, "path_prefix") : "gone",
+            readCount(service, "servers"), readCount(service, "waiting"), readCount(service, "max_waiting"),
+            decimal(service, "retry_tokens"), decimal(service, "hedge_tokens"), readText(service, "idempotent"),
+            age(service, "timeout_ms"), readFlag(service, "hedge") ? "on" : "off" });
+    }
+    return table.empty() ? "  none\n" : table.write();
+}
+
+std::string writeValues(const json& dump)
+{
+    text_table table({ "value", "revision", "source", "age", "bytes", "refused" });
+    for (const auto& [key, value] : readPart(dump, "values").items())
+        table.add({ key, readCount(value, "revision"), readText(value, "source"), age(value, "age_ms"),
+            readCount(value, "bytes"), readCount(readPart(value, "refused"), "revision") });
+    return table.empty() ? "  none\n" : table.write();
+}
+
+std::string writePeers(const json& dump)
+{
+    text_table table({ "peer", "address", "data centre", "heard", "leaving", "listed", "incarnation" });
+    for (const auto& [id, peer] : readPart(dump, "peers").items())
+        table.add({ id, readText(peer, "address"), readText(peer, "data_centre"), age(peer, "heard_age_ms"),
+            readFlag(peer, "leaving") ? "yes" : "no", readFlag(peer, "listed") ? "yes" : "no",
+            readCount(peer, "incarnation") });
+    return table.empty() ? "  none\n" : table.write();
+}
+
+std::string writeCounters(const json& dump)
+{
+    text_table table({ "counted since the start", "" });
+    for (const auto& [name, counter] : readPart(dump, "counters").items()) {
+        if (counter.is_number())
+            table.add({ name, counter.dump() });
+        else if (counter.is_object())
+            for (const auto& [kind, count] : counter.items())
+                table.add({ name + ' ' + kind, count.dump() });
+    }
+    return table.write();
+}
+
+} // namespace
+
+std::string writeDump(const json& dump)
+{
+    return writeHead(dump) + "\nSERVERS\n" + writeServers(dump) + "\nSERVICES\n" + writeServices(dump) + "\nSETTINGS\n"
+        + writeValues(dump) + "\nPEERS\n" + writePeers(dump) + "\nCOUNTERS\n" + writeCounters(dump);
+}
+
+} // namespace acaciaslip::app
--- /dev/null
+++ b/src/app/node_commands.cpp
@@ -0,0 +1,52 @@
+#include "app/node_commands.hpp"
+
+#include "app/dump_table.hpp"
+#include "app/exit_codes.hpp"
+#include "app/operators_client.hpp"
+#include "app/status_table.hpp"
+
+#include <algorithm>
+#include <cstdio>
+
+#include <fmt/format.h>
+
+namespace acaciaslip::app {
+
+namespace {
+
+constexpr int indent = 2;
+
+int sayNo(const absl::Status& status)
+{
+    fmt::print(stderr, "acaciaslip: {}\n", std::string(status.message()));
+    return exitSaidNo;
+}
+
+} // namespace
+
+int dumpNode(const std::string& address, bool json)
+{
+    const auto dump = fetchDump(address);
+    if (!dump.ok())
+        return sayNo(dump.status());
+    fmt::print("{}", json ? dump->dump(indent) + '\n' : writeDump(*dump));
+    return exitDone;
+}
+
+int showStatus(const std::vector<std::string>& addresses, bool json)
+{
+    const auto answers = fetchDumps(addresses);
+    fmt::print("{}", json ? describeStatus(answers).dump(indent) + '\n' : writeStatus(answers));
+    const bool all = std::all_of(answers.begin(), answers.end(), [](const auto& answer) { return answer.dump.ok(); });
+    return all ? exitDone : exitSaidNo;
+}
+
+int drainNode(const std::string& address)
+{
+    if (const auto status = requestDrain(address); !status.ok())
+        return sayNo(status);
+    fmt::print("{} is leaving; it exits once its requests in progress have ended\n", address);
+    return exitDone;
+}
+
+} // namespace acaciaslip::app
--- /dev/null
+++ b/src/app/settings_commands.cpp
@@ -0,0 +1,132 @@
+#include "app/settings_commands.hpp"
+
+#include "app/exit_codes.hpp"
+#include "app/settings_files.hpp"
+#include "protocol/fleet_settings_reader.hpp"
+#include "protocol/node_settings_reader.hpp"
+
+#include <algorithm>
+#include <cstdio>
+#include <set>
+
+#include <fmt/format.h>
+
+namespace acaciaslip::app {
+
+namespace {
+
+/// Reads the values, each called by its file.
+absl::StatusOr<state::fleet_settings> readValues(const settings_files& files)
+{
+    protocol::checked_values values;
+    for (const auto& [key, file] : files.values) {
+        auto value = std::make_shared<protocol::checked_value>();
+        protocol::checkValue(*value, key, file.path, file.text);
+        values.emplace(key, std::move(value));
+    }
+    return protocol::joinValues(values);
+}
+
+/// Says what is allowed and may still be a slip.
+void warnOfStrays(const settings_files& files, const state::fleet_settings& settings)
+{
+    std::set<state::service_name> services;
+    std::set<state::service_name> served;
+    std::set<std::string> dataCentres;
+    for (const auto& service : settings.services)
+        services.insert(service.name);
+    for (const auto& host : settings.hosts) {
+        dataCentres.insert(host.dataCentre);
+        if (host.kind == state::host_kind::server && served.insert(host.service).second
+            && !services.contains(host.service) && !services.empty())
+            fmt::print(stderr, "warning: host '{}' serves {}/{}, which no team's value has; it takes no work\n",
+                host.id, host.service.team, host.service.name);
+    }
+    if (!files.values.contains(std::string(protocol::hostsKey)))
+        return;
+    for (const auto& name : services) {
+        if (!served.contains(name))
+            fmt::print(
+                stderr, "warning: no listed server serves {}/{}; its requests will be refused\n", name.team, name.name);
+    }
+    for (const auto& out : settings.dataCentresOut) {
+        if (!dataCentres.contains(out))
+            fmt::print(stderr, "warning: the data centre '{}' is out, and no listed host is in it\n", out);
+    }
+}
+
+bool printError(const absl::Status& status)
+{
+    if (!status.ok())
+        fmt::print(stderr, "{}\n", std::string(status.message()));
+    return status.ok();
+}
+
+std::string quoteText(std::string text)
+{
+    for (std::size_t at = text.find('\''); at != std::string::npos; at = text.find('\'', at + 2))
+        text.insert(at, 1, '\'');
+    return fmt::format("'{}'", text);
+}
+
+void printService(const state::service_settings& service)
+{
+    const auto milliseconds
+        = [](state::duration span) { return std::chrono::duration_cast<std::chrono::milliseconds>(span).count(); };
+    fmt::print("  - name: {}\n    path_prefix: {}\n", quoteText(service.name.name), quoteText(service.pathPrefix));
+    if (!service.host.empty())
+        fmt::print("    host: {}\n", quoteText(service.host));
+    fmt::print("    slots: {}\n    connections: {}\n    idempotent: {}\n    timeout_ms: {}\n    hedge: {}\n",
+        service.slots, service.connections, state::findName(state::idempotencyNames, service.idempotent),
+        milliseconds(service.timeout), service.hedge ? "on" : "off");
+    fmt::print(
+        "    probes_per_second: {}\n    max_waiting: {}\n    wait_ms: {}\n    retry_share: {}\n    hedge_share: {}\n",
+        service.probesPerSecond, service.maxWaiting, milliseconds(service.wait), service.retryShare,
+        service.hedgeShare);
+}
+
+} // namespace
+
+int checkFiles(const std::vector<std::string>& paths)
+{
+    const auto files = loadSettingsFiles(paths);
+    if (!printError(files.status()))
+        return exitSaidNo;
+    for (const auto& note : files->notes)
+        fmt::print(stderr, "note: {}\n", note);
+    bool good = true;
+    for (const auto& file : files->nodes)
+        good = printError(protocol::readNodeSettings(file.text, file.path).status()) && good;
+    const auto settings = readValues(*files);
+    good = printError(settings.status()) && good;
+    if (!good)
+        return exitSaidNo;
+    warnOfStrays(*files, *settings);
+    fmt::print("good: {} node.yaml, {} values, {} services, {} hosts\n", files->nodes.size(), files->values.size(),
+        settings->services.size(), settings->hosts.size());
+    return exitDone;
+}
+
+int renderFiles(const std::vector<std::string>& paths)
+{
+    const auto files = loadSettingsFiles(paths);
+    if (!printError(files.status()))
+        return exitSaidNo;
+    const auto settings = readValues(*files);
+    if (!printError(settings.status()))
+        return exitSaidNo;
+    std::string team;
+    for (const auto& service : settings->services) {
+        if (service.name.team != team)
+            fmt::print("{}team: {}\nservices:\n", team.empty() ? "" : "---\n", quoteText(service.name.team));
+        team = service.name.team;
+        printService(service);
+    }
+    if (!settings->services.empty())
+        return exitDone;
+    fmt::print(
+        stderr, "acaciaslip: no team's services in these files; name a team's file, or a folder that holds one\n");
+    return exitSaidNo;
+}
+
+} // namespace acaciaslip::app
--- a/src/protocol/dump.cpp
+++ b/src/protocol/dump.cpp
@@ -1,54 +1,152 @@
 #include "protocol/dump.hpp"
 
+#include <algorithm>
+
 namespace acaciaslip::protocol {
 
 namespace {
 
-nlohmann::json describeServer(const coordination::node& node, const state::server_record& server, state::time_point now)
-{
-    return {
-        { "address", server.address },
-        { "data_centre", server.dataCentre },
-        { "service", node.fleet.services[server.service].settings.name.name },
-        { "listing", state::findName(state::hostListingNames, server.listing) },
-        { "data_centre_out", server.dataCentreOut },
-        { "condition", state::findName(state::serverConditionNames, server.condition) },
-        { "reason", server.conditionReason },
-        { "condition_age_ms", state::toMilliseconds(now - server.conditionSince) },
-        { "in_flight", server.ownInFlight },
-        { "latency_ms", state::toMilliseconds(server.load.latency) },
-        { "probes_spent", server.probesSpent },
-    };
-}
-
-nlohmann::json describeValue(const state::value_record& value, state::time_point now)
-{
-    nlohmann::json described {
-        { "revision", value.inForce.number },
-        { "source", state::findName(state::valueSourceNames, value.inForce.source) },
-        { "age_ms", state::toMilliseconds(now - value.inForce.receivedAt) },
-    };
+using nlohmann::json;
+
+double ageOf(const node_snapshot& snapshot, state::time_point then)
+{
+    return state::toMilliseconds(snapshot.takenAt - then);
+}
+
+json ageOf(const node_snapshot& snapshot, const std::optional<state::time_point>& then)
+{
+    return then ? json(ageOf(snapshot, *then)) : json(nullptr);
+}
+
+std::optional<state::time_point> oldestStart(const state::server_record& record)
+{
+    if (record.load.runningSince.empty())
+        return std::nullopt;
+    return record.load.runningSince.front();
+}
+
+json describeReport(const node_snapshot& snapshot, const std::optional<state::server_report>& report)
+{
+    if (!report)
+        return nullptr;
+    return { { "draining", report->draining }, { "cold", report->cold }, { "in_flight", report->inFlight },
+        { "queued", report->queued }, { "boot", report->boot }, { "age_ms", ageOf(snapshot, report->heardAt) } };
+}
+
+json describeServer(const node_snapshot& snapshot, const server_snapshot& server)
+{
+    const auto& record = server.record;
+    const auto& service = snapshot.services[record.service].settings;
+    json peers = json::object();
+    std::uint32_t peersInFlight = 0;
+    for (const auto& [id, load] : record.load.peers) {
+        peers[id] = { { "in_flight", load.inFlight }, { "average", load.average },
+            { "age_ms", ageOf(snapshot, load.heardAt) } };
+        peersInFlight += load.inFlight;
+    }
+    return { { "address", record.address }, { "data_centre", record.dataCentre }, { "team", service.name.team },
+        { "service", service.name.name }, { "listing", state::findName(state::hostListingNames, record.listing) },
+        { "data_centre_out", record.dataCentreOut }, { "takes_new_work", server.candidate },
+        { "condition", state::findName(state::serverConditionNames, record.condition) },
+        { "reason", record.conditionReason }, { "condition_age_ms", ageOf(snapshot, record.conditionSince) },
+        { "slots", service.slots }, { "limit", record.limit }, { "cold_allowance", server.allowance },
+        { "good_answers", record.goodAnswers }, { "bad_answers", record.badAnswers },
+        { "in_flight", record.ownInFlight }, { "peers_in_flight", peersInFlight }, { "peers", std::move(peers) },
+        { "peers_average", record.load.othersAverage }, { "slot_permits", record.load.slotPermits },
+        { "oldest_unanswered_ms", ageOf(snapshot, oldestStart(record)) },
+        { "latency_ms", state::toMilliseconds(record.load.latency) },
+        { "last_answer_age_ms", ageOf(snapshot, record.lastAnswerAt) },
+        { "report", describeReport(snapshot, record.report) }, { "probe_tokens", record.probeTokens },
+        { "probes_spent", record.probesSpent }, { "probes_allowed_per_second", server.probesAllowed },
+        { "probing", record.probing } };
+}
+
+json describeService(const service_snapshot& service)
+{
+    const auto& settings = service.settings;
+    return { { "team", settings.name.team }, { "name", settings.name.name }, { "active", service.active },
+        { "host", settings.host }, { "path_prefix", settings.pathPrefix }, { "slots", settings.slots },
+        { "connections", settings.connections },
+        { "idempotent", state::findName(state::idempotencyNames, settings.idempotent) },
+        { "timeout_ms", state::toMilliseconds(settings.timeout) }, { "hedge", settings.hedge },
+        { "probes_per_second", settings.probesPerSecond }, { "max_waiting", settings.maxWaiting },
+        { "wait_ms", state::toMilliseconds(settings.wait) }, { "retry_share", settings.retryShare },
+        { "hedge_share", settings.hedgeShare }, { "servers", service.members }, { "waiting", service.waiting },
+        { "retry_tokens", service.retryTokens }, { "hedge_tokens", service.hedgeTokens } };
+}
+
+json describeValue(const node_snapshot& snapshot, const value_snapshot& value)
+{
+    json described { { "revision", value.number }, { "source", state::findName(state::valueSourceNames, value.source) },
+        { "age_ms", value.number > 0 ? json(ageOf(snapshot, value.receivedAt)) : json(nullptr) },
+        { "bytes", value.bytes } };
     if (value.refused)
-        described["refused"] = { { "revision", value.refused->number }, { "why", value.refusedBecause } };
+        described["refused"] = { { "revision", *value.refused }, { "why", value.refusedBecause },
+            { "age_ms", ageOf(snapshot, value.refusedAt) } };
     return described;
 }
 
+json describePeer(const node_snapshot& snapshot, const peer_snapshot& peer)
+{
+    return { { "address", peer.address }, { "data_centre", peer.dataCentre }, { "listed", peer.listed },
+        { "leaving", peer.leaving }, { "incarnation", peer.incarnation }, { "sequence", peer.sequence },
+        { "heard_age_ms", ageOf(snapshot, peer.heardAt) } };
+}
+
+/// Names each count by its enumeration's table, those that are zero included.
+template <typename Enum, typename Table>
+json describeCounts(const std::map<Enum, std::uint64_t>& counts, const Table& table)
+{
+    json described = json::object();
+    for (const auto& row : table) {
+        const auto found = counts.find(row.value);
+        described[std::string(row.name)] = found == counts.end() ? 0 : found->second;
+    }
+    return described;
+}
+
+json describeCounters(const coordination::node_counters& counters)
+{
+    return { { "requests", describeCounts(counters.requestsByVerdict, state::verdictNames) },
+        { "refusals", describeCounts(counters.refusals, state::refusalReasonNames) },
+        { "attempts", describeCounts(counters.attemptsByOutcome, state::attemptOutcomeNames) },
+        { "retries", counters.retries }, { "hedges", counters.hedges }, { "probes", counters.probes },
+        { "platform_reads", counters.platformReads }, { "peer_messages_sent", counters.peerMessagesSent },
+        { "peer_messages_taken", counters.peerMessagesTaken },
+        { "peer_messages_dropped", counters.peerMessagesDropped }, { "pauses", counters.pauses } };
+}
+
 } // namespace
 
-nlohmann::json describeNode(const coordination::node& node, state::time_point now)
-{
-    nlohmann::json described {
-        { "id", node.settings.id },
-        { "data_centre", node.settings.dataCentre },
-        { "incarnation", node.incarnation },
-        { "phase", state::findName(coordination::nodePhaseNames, node.phase) },
-        { "requests_in_progress", node.requests.requests.size() },
-    };
-    for (const auto& server : node.fleet.servers)
-        described["servers"][server.id] = describeServer(node, server, now);
-    for (const auto& [key, value] : node.values)
-        described["values"][key] = describeValue(value, now);
+json describeSnapshot(const node_snapshot& snapshot)
+{
+    json described { { "id", snapshot.settings.id }, { "data_centre", snapshot.settings.dataCentre },
+        { "incarnation", snapshot.incarnation },
+        { "addresses",
+            { { "callers", snapshot.settings.callers }, { "peers", snapshot.settings.peers },
+                { "operators", snapshot.settings.operators }, { "platform", snapshot.settings.platform } } },
+        { "phase", state::findName(coordination::nodePhaseNames, snapshot.phase) },
+        { "phase_age_ms", ageOf(snapshot, snapshot.phaseSince) },
+        { "picture_suspect", snapshot.suspectSince.has_value() },
+        { "picture_suspect_age_ms", ageOf(snapshot, snapshot.suspectSince) },
+        { "requests_in_progress", snapshot.requestsInProgress },
+        { "attempts_in_progress", snapshot.attemptsInProgress }, { "entry_hosts_listed", snapshot.entryHosts },
+        { "services", json::object() }, { "servers", json::object() }, { "values", json::object() },
+        { "peers", json::object() }, { "counters", describeCounters(snapshot.counters) } };
+    for (const auto& service : snapshot.services)
+        described["services"][service.settings.name.team + '/' + service.settings.name.name] = describeService(service);
+    for (const auto& server : snapshot.servers)
+        described["servers"][server.record.id] = describeServer(snapshot, server);
+    for (const auto& value : snapshot.values)
+        described["values"][value.key] = describeValue(snapshot, value);
+    for (const auto& peer : snapshot.peers)
+        described["peers"][peer.id] = describePeer(snapshot, peer);
     return described;
 }
 
+json describeNode(const coordination::node& node, state::time_point now)
+{
+    return describeSnapshot(copyNode(node, now));
+}
+
 } // namespace acaciaslip::protocol
--- /dev/null
+++ b/src/protocol/node_snapshot.cpp
@@ -0,0 +1,90 @@
+#include "protocol/node_snapshot.hpp"
+
+#include "coordination/permits.hpp"
+#include "coordination/picking.hpp"
+
+#include <algorithm>
+
+namespace acaciaslip::protocol {
+
+namespace {
+
+service_snapshot copyService(const state::service_record& service)
+{
+    return { service.settings, service.active, service.members.size(), service.waiting.size(), service.retries.tokens,
+        service.hedges.tokens };
+}
+
+value_snapshot copyValue(const state::value_key& key, const state::value_record& record)
+{
+    value_snapshot copy { key, record.inForce.number, record.inForce.source, record.inForce.receivedAt,
+        record.inForce.body.size(), {}, {}, {} };
+    if (record.refused) {
+        copy.refused = record.refused->number;
+        copy.refusedAt = record.refused->receivedAt;
+        copy.refusedBecause = record.refusedBecause;
+    }
+    return copy;
+}
+
+peer_snapshot copyPeer(const state::peer_record& peer)
+{
+    return { peer.id, peer.address, peer.dataCentre, peer.listed, peer.leaving, peer.incarnation, peer.sequence,
+        peer.heardAt };
+}
+
+server_snapshot copyServer(const coordination::node& node, const state::server_record& server, state::time_point now)
+{
+    const auto& settings = node.fleet.services[server.service].settings;
+    const auto hosts = std::max<std::size_t>(node.fleet.entryHosts.size(), 1);
+    return { server, coordination::isCandidate(server), coordination::coldAllowance(node, server, now),
+        settings.probesPerSecond / static_cast<double>(hosts) };
+}
+
+} // namespace
+
+node_snapshot copyOverview(const coordination::node& node, state::time_point now)
+{
+    node_snapshot copy;
+    copy.takenAt = now;
+    copy.settings = node.settings;
+    copy.incarnation = node.incarnation;
+    copy.phase = node.phase;
+    copy.phaseSince = node.phaseSince;
+    copy.suspectSince = node.suspectSince;
+    copy.requestsInProgress = node.requests.requests.size();
+    copy.attemptsInProgress = node.requests.attempts.size();
+    copy.entryHosts = node.fleet.entryHosts.size();
+    copy.services.reserve(node.fleet.services.size());
+    for (const auto& service : node.fleet.services)
+        copy.services.push_back(copyService(service));
+    copy.values.reserve(node.values.size());
+    for (const auto& [key, record] : node.values)
+        copy.values.push_back(copyValue(key, record));
+    copy.peers.reserve(node.peers.size());
+    for (const auto& [id, peer] : node.peers)
+        copy.peers.push_back(copyPeer(peer));
+    copy.counters = node.counters;
+    copy.servers.reserve(node.fleet.servers.size());
+    return copy;
+}
+
+bool copyServers(const coordination::node& node, state::time_point now, node_snapshot& snapshot)
+{
+    for (auto index = snapshot.services.size(); index < node.fleet.services.size(); ++index)
+        snapshot.services.push_back(copyService(node.fleet.services[index])); // came up since the overview
+    const auto& servers = node.fleet.servers;
+    const auto last = std::min(servers.size(), snapshot.servers.size() + serversPerCopy);
+    for (auto index = snapshot.servers.size(); index < last; ++index)
+        snapshot.servers.push_back(copyServer(node, servers[index], now));
+    return last < servers.size();
+}
+
+node_snapshot copyNode(const coordination::node& node, state::time_point now)
+{
+    auto copy = copyOverview(node, now);
+    while (copyServers(node, now, copy)) { }
+    return copy;
+}
+
+} // namespace acaciaslip::protocol
--- a/src/transport/decision_thread.hpp
+++ b/src/transport/decision_thread.hpp
@@ -2,6 +2,7 @@
 
 #include "coordination/node.hpp"
 
+#include <algorithm>
 #include <functional>
 #include <optional>
 #include <thread>
@@ -38,6 +39,12 @@
     /// Has the thread call back with the node.
     void inspect(inspection callback);
 
+    /// How many events and inspections wait to be taken.
+    [[nodiscard]] std::size_t eventsWaiting() const
+    {
+        return static_cast<std::size_t>(std::max<std::ptrdiff_t>(m_ring.size(), 0));
+    }
+
     /// Ends the thread after the events already posted. Safe to call twice.
     void stop();
 
--- a/src/transport/operators_edge.hpp
+++ b/src/transport/operators_edge.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "protocol/node_snapshot.hpp"
 #include "transport/decision_thread.hpp"
 
 #include <thread>
@@ -21,7 +22,8 @@
     void stop();
 
 private:
-    [[nodiscard]] std::string describeNode() const;
+    /// Copies the node a few servers at a time, so that no decision waits for the whole copy.
+    [[nodiscard]] protocol::node_snapshot copyNode() const;
 
     decision_thread& m_decisions;
     state::node_settings m_settings;
