--- a/src/transport/daemon.cpp
+++ b/src/transport/daemon.cpp
@@ -4,8 +4,10 @@
 #include "transport/attempt_sender.hpp"
 #include "transport/caller_edge.hpp"
 #include "transport/decision_thread.hpp"
+#include "transport/event_sink.hpp"
 #include "transport/logger.hpp"
 #include "transport/operators_edge.hpp"
+#include "transport/peer_link.hpp"
 #include "transport/server_prober.hpp"
 #include "transport/value_reader.hpp"
 
@@ -32,6 +34,13 @@
     return (static_cast<std::uint64_t>(device()) << 32U) | device();
 }
 
+protocol::message_limits limitMessages(const state::node_settings& settings)
+{
+    protocol::message_limits limits;
+    limits.bodyBytes = settings.maxBodyBytes;
+    return limits;
+}
+
 } // namespace
 
 /// Every part, in the order in which they may refer to each other.
@@ -41,22 +50,30 @@
             [this](coordination::effect&& wanted) {
                 std::visit([this](auto& known) { carryOut(std::move(known)); }, wanted);
             })
-        , callers(decisions, settings)
+        , callers(makeSink(), settings)
         , operators(decisions, settings)
-        , attempts(decisions, fmt::format("{}.{}", settings.id, incarnation), settings.callerThreads)
+        , attempts(makeSink(), fmt::format("{}.{}", settings.id, incarnation), settings.callerThreads,
+              limitMessages(settings))
         , prober(decisions)
         , reader(decisions)
+        , peers(decisions, settings)
     {
     }
 
+    event_sink makeSink()
+    {
+        return { [this](coordination::event&& happened) { decisions.post(std::move(happened)); },
+            [this](coordination::event&& happened) { return decisions.tryPost(std::move(happened)); } };
+    }
+
     void carryOut(coordination::send_attempt&& wanted) { attempts.send(std::move(wanted)); }
     void carryOut(const coordination::cancel_attempt& wanted) { attempts.cancel(wanted); }
     void carryOut(coordination::answer_caller&& wanted) { callers.finish(std::move(wanted)); }
     void carryOut(const coordination::refuse_caller& wanted) { callers.finish(wanted); }
     void carryOut(coordination::probe_server&& wanted) { prober.probe(std::move(wanted)); }
-    void carryOut(const coordination::tell_peer& /*wanted*/) { }
+    void carryOut(coordination::tell_peer&& wanted) { peers.tell(std::move(wanted)); }
     void carryOut(coordination::fetch_value&& wanted) { reader.read(std::move(wanted)); }
-    void carryOut(const coordination::serve_value& /*wanted*/) { }
+    void carryOut(coordination::serve_value&& served) { peers.serve(std::move(served)); }
     void carryOut(const coordination::log_event& event) { writeLog(event); }
     void carryOut(const coordination::node_stopped& /*stopped*/) { stopped.set_value(); }
 
@@ -67,6 +84,7 @@
     attempt_sender attempts;
     server_prober prober;
     value_reader reader;
+    peer_link peers;
 };
 
 daemon::daemon(const state::node_settings& settings)
@@ -82,6 +100,8 @@
         return status;
     if (auto status = m_parts->operators.start(); !status.ok())
         return status;
+    if (auto status = m_parts->peers.start(); !status.ok())
+        return status;
     m_parts->decisions.start();
     return absl::OkStatus();
 }
@@ -99,6 +119,7 @@
     m_parts->attempts.stop();
     m_parts->prober.stop();
     m_parts->reader.stop();
+    m_parts->peers.stop();
     m_parts->decisions.stop();
 }
 
