--- a/src/app/dump_reading.cpp
+++ b/src/app/dump_reading.cpp
@@ -108,6 +108,8 @@
             troubles.push_back(fmt::format("refuses revision {} of {} and keeps {}:\n      {}",
                 readCount(refused, "revision"), key, readCount(value, "revision"), readText(refused, "why")));
     }
+    if (readFlag(dump, "on_old_picture"))
+        troubles.emplace_back("was paused and nobody answered since: it acts on the picture from before");
     const auto peers = readPart(dump, "peers").size();
     const auto heard = countHeard(dump);
     if (heard < peers)
--- a/src/app/dump_table.cpp
+++ b/src/app/dump_table.cpp
@@ -39,29 +39,49 @@
     return text;
 }
 
-std::string writeServers(const json& dump)
+using named_servers = std::vector<std::pair<std::string, const json*>>;
+
+/// The servers, those that get less than they could bear first.
+named_servers sortServers(const json& dump)
 {
-    text_table table(
-        { "server", "service", "data centre", "new work", "condition", "why", "for", "own", "peers", "permits", "limit",
-            "slots", "latency", "oldest", "answered", "report", "queued", "probes", "tokens", "a second" });
-    std::vector<std::pair<std::string, const json*>> sorted;
+    named_servers sorted;
     for (const auto& [id, server] : readPart(dump, "servers").items())
         sorted.emplace_back(id, &server);
     std::stable_sort(sorted.begin(), sorted.end(), [](const auto& left, const auto& right) {
         return !findHandicap(*left.second).empty() && findHandicap(*right.second).empty();
     });
-    for (const auto& [id, found] : sorted) {
+    return sorted;
+}
+
+std::string writeServers(const named_servers& servers)
+{
+    text_table table({ "server", "service", "data centre", "new work", "condition", "why", "for", "own", "peers",
+        "permits", "limit", "slots", "latency", "oldest", "answered" });
+    for (const auto& [id, found] : servers) {
         const auto& server = *found;
         const auto handicap = findHandicap(server);
-        const auto& report = readPart(server, "report");
         table.add({ id, readText(server, "team") + '/' + readText(server, "service"), readText(server, "data_centre"),
             readFlag(server, "takes_new_work") ? (handicap.empty() ? "yes" : handicap) : "no: " + handicap,
             readText(server, "condition"), readText(server, "reason"), age(server, "condition_age_ms"),
             readCount(server, "in_flight"), readCount(server, "peers_in_flight"), readCount(server, "cold_allowance"),
             readCount(server, "limit"), readCount(server, "slots"), age(server, "latency_ms"),
-            age(server, "oldest_unanswered_ms"), age(server, "last_answer_age_ms"), age(report, "age_ms"),
-            readCount(report, "queued"), readCount(server, "probes_spent"), decimal(server, "probe_tokens"),
-            decimal(server, "probes_allowed_per_second") });
+            age(server, "oldest_unanswered_ms"), age(server, "last_answer_age_ms") });
+    }
+    return table.empty() ? "  none\n" : table.write();
+}
+
+std::string writeMeasuring(const named_servers& servers)
+{
+    text_table table({ "server", "probes spent", "allowed", "allowed a second", "report", "says draining", "says cold",
+        "in flight", "queued", "bad answers", "shed", "ejected for", "boot" });
+    for (const auto& [id, found] : servers) {
+        const auto& server = *found;
+        const auto& report = readPart(server, "report");
+        table.add({ id, readCount(server, "probes_spent"), readCount(server, "probes_allowed"),
+            decimal(server, "probes_allowed_per_second"), age(report, "age_ms"),
+            readFlag(report, "says_draining") ? "yes" : "no", readFlag(report, "cold") ? "yes" : "no",
+            readCount(report, "in_flight"), readCount(report, "queued"), readCount(server, "bad_answers"),
+            readCount(server, "shed_answers"), age(server, "ejected_for_ms"), readText(server, "boot") });
     }
     return table.empty() ? "  none\n" : table.write();
 }
@@ -116,8 +136,10 @@
 
 std::string writeDump(const json& dump)
 {
-    return writeHead(dump) + "\nSERVERS\n" + writeServers(dump) + "\nSERVICES\n" + writeServices(dump) + "\nSETTINGS\n"
-        + writeValues(dump) + "\nPEERS\n" + writePeers(dump) + "\nCOUNTERS\n" + writeCounters(dump);
+    const auto servers = sortServers(dump);
+    return writeHead(dump) + "\nSERVERS\n" + writeServers(servers) + "\nMEASURING\n" + writeMeasuring(servers)
+        + "\nSERVICES\n" + writeServices(dump) + "\nSETTINGS\n" + writeValues(dump) + "\nPEERS\n" + writePeers(dump)
+        + "\nCOUNTERS\n" + writeCounters(dump);
 }
 
 } // namespace acaciaslip::app
--- a/src/coordination/node.hpp
+++ b/src/coordination/node.hpp
@@ -7,8 +7,8 @@
 #include "coordination/permits.hpp"
 #include "coordination/server_review.hpp"
 #include "coordination/server_tags.hpp"
+#include "state/duration_histogram.hpp"
 #include "state/fleet.hpp"
-#include "state/latency_histogram.hpp"
 #include "state/node_settings.hpp"
 #include "state/peer_table.hpp"
 #include "state/request_ledger.hpp"
@@ -51,7 +51,7 @@
     std::map<state::verdict, std::uint64_t> requestsByVerdict;
     std::map<state::refusal_reason, std::uint64_t> refusals;
     std::map<state::attempt_outcome, std::uint64_t> attemptsByOutcome;
-    std::map<state::verdict, state::latency_histogram> latencyByVerdict; ///< from arrival to outcome
+    std::map<state::verdict, state::duration_histogram> durationByVerdict; ///< from arrival to outcome
     std::uint64_t retries = 0;
     std::uint64_t hedges = 0;
     std::uint64_t callersGone = 0; ///< callers that closed before their request ended
--- a/src/coordination/request_end.cpp
+++ b/src/coordination/request_end.cpp
@@ -29,6 +29,12 @@
     self.requests.requests.erase(request.id);
 }
 
+void countEnd(node& self, const state::request& request, state::verdict outcome)
+{
+    ++self.counters.requestsByVerdict[outcome];
+    state::observe(self.counters.durationByVerdict[outcome], self.lastEventAt - request.arrivedAt);
+}
+
 } // namespace
 
 state::verdict verdictWithoutAnswer(const state::request& request) noexcept
@@ -40,7 +46,7 @@
 void endWithAnswer(node& self, state::request& request, const state::host_id& server,
     const state::payload_pointer& answer, effect_list& effects)
 {
-    ++self.counters.requestsByVerdict[state::verdict::ran];
+    countEnd(self, request, state::verdict::ran);
     effects.emplace_back(answer_caller { request.id, server, request.attempts, isLeaving(self), answer });
     cancelRunning(request, effects);
     forget(self, request);
@@ -50,7 +56,7 @@
     node& self, state::request& request, state::refusal_reason reason, state::duration retryAfter, effect_list& effects)
 {
     const auto outcome = verdictWithoutAnswer(request);
-    ++self.counters.requestsByVerdict[outcome];
+    countEnd(self, request, outcome);
     ++self.counters.refusals[reason];
     effects.emplace_back(refuse_caller { request.id, reason, outcome, request.attempts, retryAfter, isLeaving(self) });
     cancelRunning(request, effects);
--- a/src/protocol/dump.cpp
+++ b/src/protocol/dump.cpp
@@ -18,6 +18,13 @@
     return then ? json(ageOf(snapshot, *then)) : json(nullptr);
 }
 
+json latencyOf(const state::server_record& record)
+{
+    if (record.load.latency <= state::duration::zero())
+        return nullptr;
+    return state::toMilliseconds(record.load.latency);
+}
+
 std::optional<state::time_point> oldestStart(const state::server_record& record)
 {
     if (record.load.runningSince.empty())
@@ -25,12 +32,19 @@
     return record.load.runningSince.front();
 }
 
+/// Milliseconds left until a time; 0 when it is over.
+double leftUntil(const node_snapshot& snapshot, state::time_point then)
+{
+    return std::max(0.0, state::toMilliseconds(then - snapshot.takenAt));
+}
+
 json describeReport(const node_snapshot& snapshot, const std::optional<state::server_report>& report)
 {
     if (!report)
         return nullptr;
-    return { { "draining", report->draining }, { "cold", report->cold }, { "in_flight", report->inFlight },
-        { "queued", report->queued }, { "boot", report->boot }, { "age_ms", ageOf(snapshot, report->heardAt) } };
+    return { { "draining", report->draining }, { "says_draining", report->saysDraining }, { "cold", report->cold },
+        { "in_flight", report->inFlight }, { "queued", report->queued }, { "boot", report->boot },
+        { "age_ms", ageOf(snapshot, report->heardAt) } };
 }
 
 json describeServer(const node_snapshot& snapshot, const server_snapshot& server)
@@ -53,12 +67,15 @@
         { "good_answers", record.goodAnswers }, { "bad_answers", record.badAnswers },
         { "in_flight", record.ownInFlight }, { "peers_in_flight", peersInFlight }, { "peers", std::move(peers) },
         { "peers_average", record.load.othersAverage }, { "slot_permits", record.load.slotPermits },
-        { "oldest_unanswered_ms", ageOf(snapshot, oldestStart(record)) },
-        { "latency_ms", state::toMilliseconds(record.load.latency) },
+        { "oldest_unanswered_ms", ageOf(snapshot, oldestStart(record)) }, { "latency_ms", latencyOf(record) },
         { "last_answer_age_ms", ageOf(snapshot, record.lastAnswerAt) },
-        { "report", describeReport(snapshot, record.report) }, { "probe_tokens", record.probeTokens },
-        { "probes_spent", record.probesSpent }, { "probes_allowed_per_second", server.probesAllowed },
-        { "probing", record.probing } };
+        { "report", describeReport(snapshot, record.report) }, { "probes_spent", record.probesSpent },
+        { "probes_allowed_per_second", server.probesAllowed }, { "probes_allowed", record.probes.allowed },
+        { "probing", record.probes.running }, { "epoch", record.epoch }, { "setbacks", record.setbacks },
+        { "shed_answers", record.shedAnswers }, { "connect_failures", record.connectFailures },
+        { "ejections", record.ejections }, { "ejected_for_ms", leftUntil(snapshot, record.ejectedUntil) },
+        { "ejected_by_peers", record.ejectedBy.size() }, { "boot", record.boot },
+        { "usual_latency_ms", state::toMilliseconds(record.usualLatency) } };
 }
 
 json describeService(const service_snapshot& service)
@@ -110,9 +127,9 @@
     return { { "requests", describeCounts(counters.requestsByVerdict, state::verdictNames) },
         { "refusals", describeCounts(counters.refusals, state::refusalReasonNames) },
         { "attempts", describeCounts(counters.attemptsByOutcome, state::attemptOutcomeNames) },
-        { "retries", counters.retries }, { "hedges", counters.hedges }, { "probes", counters.probes },
-        { "platform_reads", counters.platformReads }, { "peer_messages_sent", counters.peerMessagesSent },
-        { "peer_messages_taken", counters.peerMessagesTaken },
+        { "retries", counters.retries }, { "hedges", counters.hedges }, { "callers_gone", counters.callersGone },
+        { "probes", counters.probes }, { "platform_reads", counters.platformReads },
+        { "peer_messages_sent", counters.peerMessagesSent }, { "peer_messages_taken", counters.peerMessagesTaken },
         { "peer_messages_dropped", counters.peerMessagesDropped }, { "pauses", counters.pauses } };
 }
 
@@ -129,6 +146,8 @@
         { "phase_age_ms", ageOf(snapshot, snapshot.phaseSince) },
         { "picture_suspect", snapshot.suspectSince.has_value() },
         { "picture_suspect_age_ms", ageOf(snapshot, snapshot.suspectSince) },
+        { "on_old_picture", snapshot.onOldPicture },
+        { "permits_held_for_ms", leftUntil(snapshot, snapshot.permitsUntil) },
         { "requests_in_progress", snapshot.requestsInProgress },
         { "attempts_in_progress", snapshot.attemptsInProgress }, { "entry_hosts_listed", snapshot.entryHosts },
         { "services", json::object() }, { "servers", json::object() }, { "values", json::object() },
--- a/src/protocol/node_snapshot.cpp
+++ b/src/protocol/node_snapshot.cpp
@@ -11,8 +11,8 @@
 
 service_snapshot copyService(const state::service_record& service)
 {
-    return { service.settings, service.active, service.members.size(), service.waiting.size(), service.retries.tokens,
-        service.hedges.tokens };
+    return { service.settings, service.active, service.members.size(), service.activity.waiting.size(),
+        service.activity.retries.tokens, service.activity.hedges.tokens };
 }
 
 value_snapshot copyValue(const state::value_key& key, const state::value_record& record)
@@ -33,12 +33,17 @@
         peer.heardAt };
 }
 
+double probesPerSecond(const state::probe_duty& duty)
+{
+    if (duty.interval <= state::duration::zero())
+        return 0;
+    return 1 / std::chrono::duration<double>(duty.interval).count();
+}
+
 server_snapshot copyServer(const coordination::node& node, const state::server_record& server, state::time_point now)
 {
-    const auto& settings = node.fleet.services[server.service].settings;
-    const auto hosts = std::max<std::size_t>(node.fleet.entryHosts.size(), 1);
     return { server, coordination::isCandidate(server), coordination::coldAllowance(node, server, now),
-        settings.probesPerSecond / static_cast<double>(hosts) };
+        probesPerSecond(server.probes) };
 }
 
 } // namespace
@@ -52,6 +57,8 @@
     copy.phase = node.phase;
     copy.phaseSince = node.phaseSince;
     copy.suspectSince = node.suspectSince;
+    copy.onOldPicture = node.freshness.onOldPicture;
+    copy.permitsUntil = node.permits.leaseUntil;
     copy.requestsInProgress = node.requests.requests.size();
     copy.attemptsInProgress = node.requests.attempts.size();
     copy.entryHosts = node.fleet.entryHosts.size();
--- a/src/protocol/node_snapshot.hpp
+++ b/src/protocol/node_snapshot.hpp
@@ -59,6 +59,8 @@
     coordination::node_phase phase = coordination::node_phase::starting;
     state::time_point phaseSince;
     std::optional<state::time_point> suspectSince;
+    bool onOldPicture = false; ///< nobody answered after a pause
+    state::time_point permitsUntil; ///< end of the lease on permits of cold servers
     std::size_t requestsInProgress = 0;
     std::size_t attemptsInProgress = 0;
     std::size_t entryHosts = 0;
--- a/src/transport/metrics.cpp
+++ b/src/transport/metrics.cpp
@@ -91,18 +91,18 @@
     families.push_back(makeCounter("acaciaslip_pauses_total", "Pauses that made the picture suspect", counters.pauses));
 }
 
-void addLatency(std::vector<MetricFamily>& families, const coordination::node_counters& counters)
+void addDurations(std::vector<MetricFamily>& families, const coordination::node_counters& counters)
 {
     auto family = makeFamily("acaciaslip_request_duration_seconds",
         "Time from the whole request read to its outcome, by verdict", MetricType::Histogram);
-    for (const auto& [outcome, histogram] : counters.latencyByVerdict) {
+    for (const auto& [outcome, histogram] : counters.durationByVerdict) {
         ClientMetric metric;
         metric.label = { { "verdict", std::string(state::findName(state::verdictNames, outcome)) } };
         std::uint64_t count = 0;
         for (std::size_t bucket = 0; bucket < histogram.counts.size(); ++bucket) {
             count += histogram.counts[bucket];
-            const double bound = bucket < state::latencyBounds.size()
-                ? state::toMilliseconds(state::latencyBounds[bucket]) / millisecondsPerSecond
+            const double bound = bucket < state::durationBounds.size()
+                ? state::toMilliseconds(state::durationBounds[bucket]) / millisecondsPerSecond
                 : std::numeric_limits<double>::infinity();
             metric.histogram.bucket.push_back({ count, bound });
         }
@@ -215,7 +215,7 @@
     std::vector<MetricFamily> families;
     addPhase(families, snapshot);
     addCounters(families, snapshot.counters);
-    addLatency(families, snapshot.counters);
+    addDurations(families, snapshot.counters);
     addServers(families, snapshot);
     addValues(families, snapshot);
     addPeers(families, snapshot);
