--- a/src/transport/daemon.cpp
+++ b/src/transport/daemon.cpp
@@ -46,7 +46,9 @@
 /// Every part, in the order in which they may refer to each other.
 struct daemon::parts {
     explicit parts(const state::node_settings& settings, std::uint64_t incarnation)
-        : decisions(coordination::makeNode(settings, incarnation, protocol::readFleetSettings), makeSeed(),
+        : decisions(
+            coordination::makeNode(settings, incarnation, [this](const auto& bodies) { return values.read(bodies); }),
+            makeSeed(),
             [this](coordination::effect&& wanted) {
                 std::visit([this](auto& known) { carryOut(std::move(known)); }, wanted);
             })
@@ -55,7 +57,11 @@
         , attempts(makeSink(), fmt::format("{}.{}", settings.id, incarnation), settings.callerThreads,
               limitMessages(settings))
         , prober(decisions)
-        , reader(decisions)
+        , reader(decisions,
+              [this](const coordination::value_received& received) {
+                  if (received.number > 0)
+                      values.prepare(received.key, received.body);
+              })
         , peers(decisions, settings)
     {
     }
@@ -78,6 +84,7 @@
     void carryOut(const coordination::node_stopped& /*stopped*/) { stopped.set_value(); }
 
     std::promise<void> stopped;
+    protocol::fleet_settings_cache values;
     decision_thread decisions;
     caller_edge callers;
     operators_edge operators;
--- a/src/transport/logger.cpp
+++ b/src/transport/logger.cpp
@@ -12,6 +12,8 @@
 
 namespace {
 
+constexpr int millisecondsPerSecond = 1000;
+
 std::atomic<coordination::log_level> lowestLevel { coordination::log_level::info };
 
 bool needsQuotes(std::string_view value)
@@ -50,13 +52,11 @@
     lowestLevel = lowest;
 }
 
-void writeLog(const coordination::log_event& event)
+std::string formatLogLine(const coordination::log_event& event, std::chrono::system_clock::time_point now)
 {
-    if (event.level < lowestLevel)
-        return;
-    const auto now = std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
-    std::string line = fmt::format("time={:%Y-%m-%dT%H:%M:%S}Z level={} event={}",
-        fmt::gmtime(std::chrono::system_clock::to_time_t(now)),
+    const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count();
+    std::string line = fmt::format("time={:%Y-%m-%dT%H:%M:%S}.{:03}Z level={} event={}",
+        fmt::gmtime(std::chrono::system_clock::to_time_t(now)), milliseconds % millisecondsPerSecond,
         state::findName(coordination::logLevelNames, event.level), event.name);
     for (const auto& [key, value] : event.fields) {
         line += fmt::format(" {}=", key);
@@ -65,7 +65,14 @@
         else
             line += value;
     }
-    line += '\n';
+    return line;
+}
+
+void writeLog(const coordination::log_event& event)
+{
+    if (event.level < lowestLevel)
+        return;
+    const auto line = formatLogLine(event, std::chrono::system_clock::now()) + '\n';
     std::fwrite(line.data(), 1, line.size(), stderr);
 }
 
--- a/src/transport/value_reader.cpp
+++ b/src/transport/value_reader.cpp
@@ -35,8 +35,9 @@
 
 } // namespace
 
-value_reader::value_reader(decision_thread& decisions)
+value_reader::value_reader(decision_thread& decisions, std::function<void(const coordination::value_received&)> prepare)
     : m_decisions(decisions)
+    , m_prepare(std::move(prepare))
     , m_workers(
           "read_values", threads, ringCapacity, [this](const coordination::fetch_value& wanted) { carryOut(wanted); })
 {
@@ -62,6 +63,8 @@
         received = readPlatform(wanted, *target);
     else if (target.ok())
         received = readPeer(wanted, *target);
+    if (received && m_prepare)
+        m_prepare(*received);
     if (received)
         m_decisions.post(*std::move(received));
     else
--- a/src/transport/value_reader.hpp
+++ b/src/transport/value_reader.hpp
@@ -10,7 +10,9 @@
 /// Threads that read published values from the platform and from other nodes; a watch holds a thread while it waits.
 class value_reader {
 public:
-    explicit value_reader(decision_thread& decisions);
+    /// \param prepare reads a value ahead on the thread that fetched it, so that the decision thread need not
+    explicit value_reader(
+        decision_thread& decisions, std::function<void(const coordination::value_received&)> prepare = {});
 
     /// Queues a read; one that finds the ring full fails.
     void read(coordination::fetch_value wanted);
@@ -26,6 +28,7 @@
         const coordination::fetch_value& wanted, const address& target) const;
 
     decision_thread& m_decisions;
+    std::function<void(const coordination::value_received&)> m_prepare;
     worker_pool<coordination::fetch_value> m_workers;
 };
 
