Warm servers up by a share of picks, and tell full servers from cold ones

Cause: a cold server competed by its score, so that with light load it was never picked (1 request in 6 s after its data centre came back); and three answers in a row that shed turned a server cold that was merely full, so that servers which shed instead of queueing lost half of the fleet's work. Change: while others could take the request a cold server with a free permit takes one pick in four; a server whose slots are believed taken turns cold only after 16 such answers.

--- a/src/coordination/cold_start.cpp
+++ b/src/coordination/cold_start.cpp
@@ -14,7 +14,8 @@
 constexpr std::uint32_t answersPerStep = 2;
 constexpr std::uint32_t answersWhileReportedCold = 16;
 constexpr state::duration reportLife = std::chrono::seconds { 3 };
-constexpr std::uint32_t shedAnswersToCollapse = 3;
+constexpr std::uint32_t shedAnswersToCollapse = 3; ///< in a row, from a server that should have had room
+constexpr std::uint32_t shedAnswersToCollapseBusy = 16; ///< in a row, from one whose slots may just have been taken
 constexpr int usualLatencyWeight = 128; ///< the newest answer counts one in this many
 constexpr int jumpFactor = 6; ///< the average over the usual latency at which a server counts as cold again
 constexpr state::duration leastJump = std::chrono::milliseconds { 50 };
@@ -37,6 +38,13 @@
         mean += (latency - mean) / weight;
 }
 
+/// A warm server whose slots are taken sheds as well; only a long streak sets it apart from one that turned cold.
+std::uint32_t shedStreakToCollapse(const node& self, const state::server_record& server)
+{
+    const double slots = self.fleet.services[server.service].settings.slots;
+    return estimateInFlight(server.load) * 2 <= slots ? shedAnswersToCollapse : shedAnswersToCollapseBusy;
+}
+
 bool mayCollapse(const node& self, const state::server_record& server)
 {
     return server.condition == state::server_condition::warm
@@ -69,7 +77,7 @@
     ++server.shedAnswers;
     if (server.condition == state::server_condition::cold && server.limit > 1)
         return collapse(self, server, "shed_while_cold", now, effects);
-    if (server.shedAnswers >= shedAnswersToCollapse && mayCollapse(self, server))
+    if (server.shedAnswers >= shedStreakToCollapse(self, server) && mayCollapse(self, server))
         collapse(self, server, "shed_streak", now, effects);
 }
 
--- a/src/coordination/picking.cpp
+++ b/src/coordination/picking.cpp
@@ -5,6 +5,7 @@
 #include "coordination/permits.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace acaciaslip::coordination {
 
@@ -13,6 +14,8 @@
 /// Requests that a warm server may have from all nodes, per slot; the rest waits at the nodes.
 constexpr double loadPerSlotLimit = 2;
 constexpr state::duration unknownLatency = std::chrono::milliseconds { 1 };
+/// A cold server takes one pick in this many while warm ones could take the request too, so that it warms up.
+constexpr std::uint32_t warmUpOneIn = 4;
 /// Scores within this share of each other are a tie, which chance breaks.
 constexpr double tieShare = 0.001;
 
@@ -65,6 +68,25 @@
     return latency * (1 + load / slotsOf(self, server));
 }
 
+/// The server with the least score offered; chance breaks ties.
+struct least_score {
+    std::optional<state::server_index> index;
+    double value = 0;
+    std::uint32_t ties = 0;
+
+    void offer(state::server_index offered, double score, random_generator& random)
+    {
+        const bool tied = index && std::abs(score - value) <= tieShare * value;
+        const bool better = tied ? random(++ties) == 0 : !index || score < value;
+        if (!tied && better)
+            ties = 1;
+        if (better) {
+            index = offered;
+            value = score;
+        }
+    }
+};
+
 } // namespace
 
 bool isCandidate(const state::server_record& server) noexcept
@@ -78,21 +100,18 @@
 {
     const auto& service = self.fleet.services[request.service];
     const auto usual = usualLatency(self, service);
-    std::optional<state::server_index> best;
-    double bestScore = 0;
-    std::uint32_t ties = 0;
+    least_score warm;
+    least_score cold;
     for (const auto index : service.members) {
         if (!mayTake(self, request, index, now))
             continue;
-        const double found = score(self, self.fleet.servers[index], usual, now);
-        const bool tied = best && std::abs(found - bestScore) <= tieShare * bestScore;
-        ties = tied ? ties + 1 : 1;
-        if (tied ? random(ties) == 0 : !best || found < bestScore) {
-            best = index;
-            bestScore = found;
-        }
+        const auto& server = self.fleet.servers[index];
+        auto& group = server.condition == state::server_condition::cold ? cold : warm;
+        group.offer(index, score(self, server, usual, now), random);
     }
-    return best;
+    if (warm.index && cold.index)
+        return random(warmUpOneIn) == 0 ? cold.index : warm.index;
+    return warm.index ? warm.index : cold.index;
 }
 
 } // namespace acaciaslip::coordination
--- a/tests/coordination/picking_test.cpp
+++ b/tests/coordination/picking_test.cpp
@@ -3,6 +3,7 @@
 #include "coordination/fleet_update.hpp"
 #include "coordination/load_estimate.hpp"
 #include "coordination/node.hpp"
+#include "coordination/permits.hpp"
 #include "coordination/slot_permits.hpp"
 
 #include <map>
@@ -57,6 +58,16 @@
         return picked;
     }
 
+    /// Lets enough time pass for this node, alone, to use the permits of cold servers.
+    void awaitPermits()
+    {
+        notePermitHosts(m_node, m_now);
+        refreshPermits(m_node, m_now);
+        m_now += absentAfter + handoverGap;
+        refreshPermits(m_node, m_now);
+        m_now += handoverGap;
+    }
+
     state::time_point m_now { std::chrono::seconds { 100 } };
     state::fleet_settings m_settings;
     node m_node = makeNode({}, 1, {});
@@ -72,6 +83,23 @@
         EXPECT_NEAR(count, 1000, 150) << index;
 }
 
+TEST_F(picking_test, ServerCold_OthersWarm_TakesOnePickInFour)
+{
+    awaitPermits();
+    server(0).condition = state::server_condition::cold;
+    learnLatency(server(0).load, milliseconds { 9 }, m_now);
+    EXPECT_NEAR(pickMany(2000)[0], 500, 80);
+}
+
+TEST_F(picking_test, ServerCold_PermitInUse_IsNotPicked)
+{
+    awaitPermits();
+    server(0).condition = state::server_condition::cold;
+    EXPECT_TRUE(pickMany(200).contains(0));
+    addOwn(0, 1);
+    EXPECT_FALSE(pickMany(200).contains(0));
+}
+
 TEST_F(picking_test, ServerTried_OnRetry_IsNotPickedAgain)
 {
     m_request.tried = { 0, 2 };
--- /dev/null
+++ b/tests/coordination/shed_streak_test.cpp
@@ -0,0 +1,43 @@
+#include "coordination/cold_start.hpp"
+#include "coordination/load_estimate.hpp"
+#include "coordination/node_fixture.hpp"
+
+namespace acaciaslip::coordination {
+namespace {
+
+class shed_streak_test : public node_fixture {
+protected:
+    shed_streak_test()
+    {
+        m_service.slots = 4;
+        serve(4);
+    }
+
+    state::server_record& server() { return m_node.fleet.servers.front(); }
+
+    void shed(int times)
+    {
+        for (int answer = 0; answer < times; ++answer)
+            noteShedStreak(m_node, server(), m_now, m_effects);
+    }
+};
+
+TEST_F(shed_streak_test, Server_WithRoom_TurnsColdAfterThree)
+{
+    shed(2);
+    EXPECT_EQ(server().condition, state::server_condition::warm);
+    shed(1);
+    EXPECT_EQ(server().condition, state::server_condition::cold);
+}
+
+TEST_F(shed_streak_test, Server_SlotsTaken_StaysWarmForLonger)
+{
+    learnPeerLoad(server().load, "entry-2", 3, m_now);
+    shed(15);
+    EXPECT_EQ(server().condition, state::server_condition::warm);
+    shed(1);
+    EXPECT_EQ(server().condition, state::server_condition::cold);
+}
+
+} // namespace
+} // namespace acaciaslip::coordination
