--- a/src/coordination/freshness.hpp
+++ b/src/coordination/freshness.hpp
@@ -18,6 +18,7 @@
 /// State of the refresh after a pause.
 struct freshness_state {
     std::uint64_t question = 0; ///< asked of peers since the wake; an answer repeats it
+    state::time_point askedAt; ///< when the refresh began
     bool peerAnswered = false; ///< a peer answered the question
     std::set<state::value_key> platformAnswered; ///< keys read from the platform since the wake
     bool onOldPicture = false; ///< nobody answered in time: decisions rest on the picture from before the pause
--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -1,37 +1,106 @@
 #include "coordination/membership.hpp"
 
+#include "coordination/freshness.hpp"
+#include "coordination/message_size.hpp"
 #include "coordination/node.hpp"
 #include "coordination/server_tracking.hpp"
+#include "coordination/settings_spread.hpp"
+
+#include <algorithm>
 
 namespace acaciaslip::coordination {
 
 namespace {
 
-constexpr state::duration heartbeatInterval = std::chrono::milliseconds { 100 };
+/// After so long a silence a peer's incarnation is forgotten, in case its clock, which numbers them, was set back.
+constexpr state::duration incarnationMemory = std::chrono::seconds { 30 };
 
-state::peer_message makeMessage(node& self)
+bool isReplay(const state::peer_record& peer, const state::peer_message& message) noexcept
 {
-    state::peer_message message;
-    message.from = self.settings.id;
-    message.incarnation = self.incarnation;
-    message.sequence = self.nextSequence++;
-    message.leaving = self.phase >= node_phase::lame_duck;
-    return message;
+    if (message.incarnation != peer.incarnation)
+        return message.incarnation < peer.incarnation;
+    return message.sequence <= peer.sequence;
 }
 
-void addLoads(const node& self, state::peer_message& message)
+void forgetLoads(node& self, state::peer_record& peer)
 {
-    for (const auto& server : self.fleet.servers) {
-        if (server.listing != state::host_listing::absent)
-            message.loads.push_back({ tagOf(server.id), server.ownInFlight });
+    if (!peer.hasLoads)
+        return;
+    for (auto& server : self.fleet.servers)
+        server.peerLoads.erase(peer.id);
+    peer.hasLoads = false;
+}
+
+/// The host was started anew: nothing that it said before holds, and it knows nothing of what it was told.
+void noteReplaced(node& self, state::peer_record& peer)
+{
+    forgetLoads(self, peer);
+    peer.revisions.clear();
+    peer.outbox = {};
+}
+
+bool isOwn(const node& self, const state::host_id& id, const std::string& address) noexcept
+{
+    return id == self.settings.id || address == self.settings.peers;
+}
+
+std::size_t countVouched(const node& self) noexcept
+{
+    return static_cast<std::size_t>(
+        std::count_if(self.peers.begin(), self.peers.end(), [](const auto& entry) { return !entry.second.listed; }));
+}
+
+void noteIntroductions(node& self, const state::peer_message& message, state::time_point now)
+{
+    for (const auto& host : message.introduced) {
+        const auto found = self.peers.find(host.id);
+        if (isOwn(self, host.id, host.address) || (found != self.peers.end() && found->second.listed))
+            continue;
+        if (found == self.peers.end() && countVouched(self) >= maxVouched)
+            continue;
+        auto& peer = self.peers[host.id];
+        if (peer.address != host.address)
+            peer = {};
+        peer.id = host.id;
+        peer.address = host.address;
+        peer.dataCentre = host.dataCentre;
+        peer.vouchedUntil = now + vouchingLasts;
     }
 }
 
-bool isReplay(const state::peer_record& peer, const state::peer_message& message)
+void noteHeard(node& self, state::peer_record& peer, const state::peer_message& message, state::time_point now)
 {
-    if (message.incarnation != peer.incarnation)
-        return message.incarnation < peer.incarnation;
-    return message.sequence <= peer.sequence;
+    if (peer.incarnation != message.incarnation)
+        noteReplaced(self, peer);
+    peer.incarnation = message.incarnation;
+    peer.sequence = message.sequence;
+    peer.leaving = message.leaving || peer.listedLeaving;
+    peer.heardAt = now;
+    peer.hasLoads |= !message.loads.empty();
+}
+
+/// Finds the peer that a message is from, by id and address.
+state::peer_record* findSender(node& self, const peer_message_received& received)
+{
+    const auto found = self.peers.find(received.message.from);
+    return found == self.peers.end() || found->second.address != received.fromAddress ? nullptr : &found->second;
+}
+
+void applyEntryHost(node& self, const state::host_record& host, state::time_point now)
+{
+    auto& peer = self.peers[host.id];
+    if (peer.address != host.peerAddress) {
+        forgetLoads(self, peer);
+        peer = {};
+    }
+    if (!peer.listed)
+        peer.listedSince = now;
+    peer.id = host.id;
+    peer.address = host.peerAddress;
+    peer.dataCentre = host.dataCentre;
+    peer.listed = true;
+    peer.listedLeaving = host.listing == state::host_listing::leaving;
+    peer.leaving |= peer.listedLeaving;
 }
 
 } // namespace
@@ -39,66 +108,76 @@
 void notePeerMessage(node& self, const peer_message_received& received, state::time_point now, effect_list& effects)
 {
     const auto& message = received.message;
-    const auto found = self.peers.find(message.from);
-    if (found == self.peers.end() || found->second.address != received.fromAddress
-        || isReplay(found->second, message)) {
+    self.counters.controlBytesReceived += boundMessageSize(message) + datagramHeaderBytes;
+    auto* const peer = findSender(self, received);
+    if (peer == nullptr || isReplay(*peer, message)) {
         ++self.counters.peerMessagesDropped;
+        ++(peer == nullptr ? self.counters.peerMessagesUnknown : self.counters.peerMessagesReplayed);
         return;
     }
     ++self.counters.peerMessagesTaken;
-    auto& peer = found->second;
-    peer.incarnation = message.incarnation;
-    peer.sequence = message.sequence;
-    peer.leaving = message.leaving;
-    peer.heardAt = now;
+    noteHeard(self, *peer, message, now);
     notePeerLoads(self, message, now);
     notePeerConditions(self, message, now, effects);
+    notePeerRevisions(self, *peer, message, now);
+    if (message.question != 0 && !isPictureSuspect(self, now))
+        answerPeer(self, *peer, message.question, now, effects);
+    if (message.answerTo != 0)
+        noteFreshnessAnswer(self, message, now);
+    if (peer->listed)
+        noteIntroductions(self, message, now);
 }
 
-void noteDatagramRefused(node& self, const datagram_refused& /*refused*/)
+void noteDatagramRefused(node& self, const datagram_refused& refused)
 {
     ++self.counters.peerMessagesDropped;
+    ++self.counters.datagramsRefused;
+    self.counters.controlBytesReceived += refused.bytes + datagramHeaderBytes;
 }
 
-void tellPeers(node& self, state::time_point now, random_generator& /*random*/, effect_list& effects)
+void forgetSilentPeers(node& self, state::time_point now)
 {
     for (auto& [id, peer] : self.peers) {
-        if (now < peer.nextTellAt)
+        if (!peer.heardAt)
             continue;
-        peer.nextTellAt = now + heartbeatInterval;
-        auto message = makeMessage(self);
-        addLoads(self, message);
-        ++self.counters.peerMessagesSent;
-        effects.emplace_back(tell_peer { peer.address, std::move(message) });
+        const auto silent = now - *peer.heardAt;
+        if (silent > (peer.dataCentre == self.settings.dataCentre ? nearLoadExpiry : farLoadExpiry))
+            forgetLoads(self, peer);
+        if (silent > incarnationMemory)
+            peer.incarnation = 0;
+    }
+    for (auto& [id, peer] : self.peers) {
+        if (!peer.listed && now > peer.vouchedUntil)
+            forgetLoads(self, peer);
     }
+    std::erase_if(
+        self.peers, [now](const auto& entry) { return !entry.second.listed && now > entry.second.vouchedUntil; });
 }
 
-void tellConditionChange(
-    node& self, const state::condition_change& change, state::time_point /*now*/, effect_list& effects)
+void applyEntryHosts(node& self, const state::fleet_settings& settings, state::time_point now)
 {
-    for (const auto& [id, peer] : self.peers) {
-        auto message = makeMessage(self);
-        message.conditions.push_back(change);
-        ++self.counters.peerMessagesSent;
-        effects.emplace_back(tell_peer { peer.address, std::move(message) });
+    std::map<state::host_id, const state::host_record*> listed;
+    for (const auto& host : settings.hosts) {
+        if (host.kind == state::host_kind::entry && !host.peerAddress.empty()
+            && !isOwn(self, host.id, host.peerAddress))
+            listed[host.id] = &host;
+    }
+    for (const auto& [id, host] : listed)
+        applyEntryHost(self, *host, now);
+    for (auto& [id, peer] : self.peers) {
+        if (peer.listed && !listed.contains(id)) {
+            forgetLoads(self, peer);
+            peer.listed = false;
+            peer.vouchedUntil = {};
+        }
     }
+    std::erase_if(
+        self.peers, [now](const auto& entry) { return !entry.second.listed && now > entry.second.vouchedUntil; });
 }
 
-void applyEntryHosts(node& self, const state::fleet_settings& settings, state::time_point /*now*/)
+bool isHeard(const state::peer_record& peer, state::time_point now) noexcept
 {
-    for (auto& [id, peer] : self.peers)
-        peer.listed = false;
-    for (const auto& host : settings.hosts) {
-        if (host.kind != state::host_kind::entry || host.id == self.settings.id || host.peerAddress.empty())
-            continue;
-        auto& peer = self.peers[host.id];
-        peer.id = host.id;
-        peer.address = host.peerAddress;
-        peer.dataCentre = host.dataCentre;
-        peer.listed = true;
-        peer.leaving = host.listing == state::host_listing::leaving;
-    }
-    std::erase_if(self.peers, [](const auto& entry) { return !entry.second.listed; });
+    return peer.heardAt && now - *peer.heardAt <= heardWithin;
 }
 
 } // namespace acaciaslip::coordination
--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -2,7 +2,9 @@
 
 #include "coordination/freshness.hpp"
 #include "coordination/membership.hpp"
+#include "coordination/peer_telling.hpp"
 #include "coordination/probing.hpp"
+#include "coordination/read_planning.hpp"
 #include "coordination/request_handling.hpp"
 #include "coordination/server_tracking.hpp"
 #include "coordination/settings_spread.hpp"
@@ -29,7 +31,7 @@
     void operator()(const probe_finished& finished) const { noteProbeFinished(self, finished, now, effects); }
     void operator()(const peer_message_received& received) const { notePeerMessage(self, received, now, effects); }
     void operator()(const datagram_refused& refused) const { noteDatagramRefused(self, refused); }
-    void operator()(const value_received& received) const { noteValue(self, received, now, effects); }
+    void operator()(const value_received& received) const { noteValue(self, received, now, random, effects); }
     void operator()(const value_read_failed& failed) const { noteValueReadFailed(self, failed, now, random); }
     void operator()(const value_requested& requested) const { serveValue(self, requested, effects); }
     void operator()(const drain_requested&) const { beginStop(self, now, effects); }
@@ -38,7 +40,8 @@
         advanceRequests(self, now, random, effects);
         planReads(self, now, random, effects);
         planProbes(self, now, random, effects);
-        tellPeers(self, now, random, effects);
+        forgetSilentPeers(self, now);
+        tellPeers(self, now, effects);
         advanceStop(self, now, effects);
     }
 };
--- a/src/coordination/node.hpp
+++ b/src/coordination/node.hpp
@@ -4,7 +4,9 @@
 #include "coordination/events.hpp"
 #include "coordination/forward_declarations.hpp"
 #include "coordination/freshness.hpp"
+#include "coordination/peer_budget.hpp"
 #include "coordination/server_tags.hpp"
+#include "coordination/spread_state.hpp"
 #include "state/fleet.hpp"
 #include "state/node_settings.hpp"
 #include "state/peer_table.hpp"
@@ -54,17 +56,18 @@
     std::uint64_t platformReads = 0;
     std::uint64_t peerMessagesSent = 0;
     std::uint64_t peerMessagesTaken = 0;
-    std::uint64_t peerMessagesDropped = 0;
+    std::uint64_t peerMessagesDropped = 0; ///< all of the three kinds below
+    std::uint64_t peerMessagesUnknown = 0; ///< of a host or an address that is not listed or vouched for
+    std::uint64_t peerMessagesReplayed = 0; ///< old, doubled or out of order
+    std::uint64_t datagramsRefused = 0; ///< not readable as a message
+    std::uint64_t controlBytesSent = 0; ///< datagrams with IP and UDP headers, upper bound
+    std::uint64_t controlBytesReceived = 0; ///< datagrams with IP and UDP headers, upper bound
+    std::uint64_t valueBytesReceived = 0; ///< bodies of published values, from peers and the platform
+    std::uint64_t valueBytesServed = 0; ///< bodies of published values, to peers
+    std::uint64_t peerReads = 0; ///< reads of published values from peers
     std::uint64_t pauses = 0; ///< gaps in the clock that made the picture suspect
 };
 
-/// State of the reads of published values.
-struct spread_state {
-    std::map<state::value_key, state::time_point> nextReadAt;
-    std::map<state::value_key, bool> reading;
-    std::size_t platformChoice = 0; ///< which platform address is tried next
-};
-
 /// One whole node: plain data, changed only by `handle`.
 struct node {
     state::node_settings settings;
@@ -82,6 +85,7 @@
     state::request_ledger requests;
     state::peer_table peers;
     std::uint64_t nextSequence = 1;
+    byte_bucket controlBytes;
     spread_state spread;
     freshness_state freshness;
     node_counters counters;
--- /dev/null
+++ b/src/coordination/peer_budget.cpp
@@ -0,0 +1,51 @@
+#include "coordination/peer_budget.hpp"
+
+#include "coordination/message_size.hpp"
+#include "coordination/node.hpp"
+
+#include <algorithm>
+
+namespace acaciaslip::coordination {
+
+namespace {
+
+constexpr state::duration shortestNearPause = std::chrono::milliseconds { 20 };
+constexpr state::duration shortestFarPause = std::chrono::seconds { 1 };
+
+state::duration toDuration(double seconds) noexcept
+{
+    return std::chrono::duration_cast<state::duration>(std::chrono::duration<double> { seconds });
+}
+
+} // namespace
+
+peer_counts countPeers(const node& self) noexcept
+{
+    peer_counts counts { 0, self.peers.size() };
+    for (const auto& [id, peer] : self.peers)
+        counts.near += peer.dataCentre == self.settings.dataCentre ? 1 : 0;
+    return counts;
+}
+
+bool takeBytes(byte_bucket& bucket, std::size_t payload, send_class wanted, state::time_point now) noexcept
+{
+    const double passed = std::chrono::duration<double>(now - bucket.filledAt).count();
+    bucket.tokens = std::min(sentBurstBytes, bucket.tokens + std::max(passed, 0.0) * sentRefillBytes);
+    bucket.filledAt = now;
+    const auto bytes = static_cast<double>(payload + datagramHeaderBytes);
+    const double kept = wanted == send_class::heartbeat ? urgentReserveBytes : 0;
+    if (bucket.tokens - bytes < kept)
+        return false;
+    bucket.tokens -= bytes;
+    return true;
+}
+
+state::duration heartbeatPause(bool near, std::size_t payload, const peer_counts& counts) noexcept
+{
+    const auto bytes = static_cast<double>(payload + datagramHeaderBytes);
+    if (near)
+        return std::max(shortestNearPause, toDuration(bytes * static_cast<double>(counts.near) / nearBytesPerSecond));
+    return std::max(shortestFarPause, toDuration(bytes * static_cast<double>(counts.all) / farBytesPerSecond));
+}
+
+} // namespace acaciaslip::coordination
--- /dev/null
+++ b/src/coordination/peer_budget.hpp
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "coordination/forward_declarations.hpp"
+#include "state/peer_table.hpp"
+#include "state/time.hpp"
+
+#include <cstddef>
+
+namespace acaciaslip::coordination {
+
+/// Bytes a second that a node may send and receive for control, with IP and UDP headers.
+inline constexpr double controlBytesPerSecond = 17.0 * 1024;
+/// Bytes a second that a node may send: half of them, since what all send is what all receive.
+inline constexpr double sentBytesPerSecond = controlBytesPerSecond / 2;
+/// The most that may be sent at once, in bytes; burst and refill together stay within one second's bytes.
+inline constexpr double sentBurstBytes = 1500;
+/// Bytes a second that the bucket refills with.
+inline constexpr double sentRefillBytes = sentBytesPerSecond - sentBurstBytes;
+/// What heartbeats leave in the bucket for urgent messages, in bytes.
+inline constexpr double urgentReserveBytes = sentBurstBytes / 2;
+/// Bytes a second for heartbeats to all peers of our data centre together.
+inline constexpr double nearBytesPerSecond = 4200;
+/// Bytes a second for heartbeats to all peers together if all were elsewhere.
+inline constexpr double farBytesPerSecond = 1600;
+
+static_assert(nearBytesPerSecond + farBytesPerSecond <= sentRefillBytes);
+
+/// The bytes that a node may still send.
+struct byte_bucket {
+    double tokens = sentBurstBytes;
+    state::time_point filledAt;
+};
+
+/// How urgent a datagram is.
+enum class send_class {
+    heartbeat, ///< leaves room for the urgent
+    urgent, ///< may take all that is left
+};
+
+/// How many peers share the bytes for heartbeats.
+struct peer_counts {
+    std::size_t near = 0; ///< in our data centre
+    std::size_t all = 0;
+};
+
+/// Counts the peers that this node tells.
+[[nodiscard]] peer_counts countPeers(const node& self) noexcept;
+
+/// Takes a datagram's bytes from the bucket.
+/// \param payload bytes without headers
+/// \return false, and nothing taken, when there is no room now
+[[nodiscard]] bool takeBytes(
+    byte_bucket& bucket, std::size_t payload, send_class wanted, state::time_point now) noexcept;
+
+/// The pause after a heartbeat that keeps its peer's share of the bytes.
+/// \details Every node divides by the number of peers, so that what one receives from all stays within the same sum.
+/// \param payload bytes without headers
+[[nodiscard]] state::duration heartbeatPause(bool near, std::size_t payload, const peer_counts& counts) noexcept;
+
+} // namespace acaciaslip::coordination
--- /dev/null
+++ b/src/coordination/peer_telling.cpp
@@ -0,0 +1,297 @@
+#include "coordination/peer_telling.hpp"
+
+#include "coordination/membership.hpp"
+#include "coordination/message_size.hpp"
+#include "coordination/node.hpp"
+#include "coordination/settings_spread.hpp"
+
+#include <algorithm>
+
+namespace acaciaslip::coordination {
+
+namespace {
+
+constexpr std::uint32_t conditionSends = 3;
+constexpr std::uint32_t revisionSends = 3;
+constexpr std::uint32_t zeroLoadRepeats = 2;
+constexpr state::duration loadRepeatInterval = std::chrono::seconds { 1 };
+constexpr state::duration fullInterval = std::chrono::seconds { 2 };
+/// How long a newly listed host is told of to peers whose list may not have it yet.
+constexpr state::duration introductionLasts = std::chrono::seconds { 60 };
+constexpr std::size_t introductionsPerMessage = 4;
+constexpr std::size_t peersAsked = 3;
+/// Loads of peers that can speak more seldom than this say nothing about now.
+constexpr state::duration oldestUsefulLoad = std::chrono::seconds { 4 };
+constexpr std::size_t typicalPayload = 100;
+/// The largest heartbeat, in bytes: one that a full bucket lets pass.
+constexpr auto maxHeartbeatBytes
+    = static_cast<std::size_t>(sentBurstBytes - urgentReserveBytes) - datagramHeaderBytes - 16;
+
+/// A message that is not sent yet, and what it says.
+struct draft {
+    state::peer_message message;
+    std::vector<state::server_index> loadServers; ///< of message.loads
+    std::size_t nextLoad = 0;
+    std::size_t nextIntroduction = 0;
+    bool full = false;
+};
+
+draft beginDraft(const node& self)
+{
+    draft made;
+    made.message.from = self.settings.id;
+    made.message.incarnation = self.incarnation;
+    made.message.sequence = self.nextSequence;
+    made.message.leaving = self.phase >= node_phase::lame_duck;
+    return made;
+}
+
+void addConditions(const state::peer_outbox& outbox, draft& made)
+{
+    for (const auto& pending : outbox.conditions) {
+        made.message.conditions.push_back(pending.change);
+        if (boundMessageSize(made.message) > maxHeartbeatBytes) {
+            made.message.conditions.pop_back();
+            return;
+        }
+    }
+}
+
+bool isLoadDue(const state::server_record& server, const state::told_load& told, state::time_point now) noexcept
+{
+    if (server.listing == state::host_listing::absent)
+        return false;
+    if (server.ownInFlight != told.inFlight)
+        return true;
+    return (told.inFlight > 0 || told.repeatsLeft > 0) && now - told.at >= loadRepeatInterval;
+}
+
+void addLoads(const node& self, const state::peer_outbox& outbox, state::time_point now, draft& made)
+{
+    const auto& tags = self.serverTags.byServer;
+    const auto count = std::min(tags.size(), self.fleet.servers.size());
+    auto bytes = boundMessageSize(made.message);
+    constexpr state::told_load neverTold {};
+    for (std::size_t step = 0; step < count; ++step) {
+        const auto index = static_cast<state::server_index>((outbox.nextLoad + step) % count);
+        const auto& server = self.fleet.servers[index];
+        const auto& told = index < outbox.loads.size() ? outbox.loads[index] : neverTold;
+        if (!isLoadDue(server, told, now) || findServer(self.serverTags, tags[index]) != index)
+            continue;
+        const state::load_delta load { tags[index], server.ownInFlight };
+        bytes += boundLoadSize(load);
+        if (bytes > maxHeartbeatBytes || made.message.loads.size() == maxListEntries)
+            return;
+        made.message.loads.push_back(load);
+        made.loadServers.push_back(index);
+        made.nextLoad = index + 1;
+    }
+}
+
+void addIntroductions(const node& self, const state::peer_record& peer, state::time_point now, draft& made)
+{
+    std::vector<const state::peer_record*> recent;
+    for (const auto& [id, other] : self.peers) {
+        if (id != peer.id && other.listed && now - other.listedSince < introductionLasts)
+            recent.push_back(&other);
+    }
+    made.nextIntroduction = peer.outbox.nextIntroduction + introductionsPerMessage;
+    for (std::size_t step = 0; step < std::min(introductionsPerMessage, recent.size()); ++step) {
+        const auto& other = *recent[(peer.outbox.nextIntroduction + step) % recent.size()];
+        made.message.introduced.push_back({ other.id, other.address, other.dataCentre });
+    }
+}
+
+draft makeHeartbeat(const node& self, const state::peer_record& peer, const peer_counts& counts, state::time_point now)
+{
+    auto made = beginDraft(self);
+    made.full = now >= peer.outbox.nextFullAt;
+    addConditions(peer.outbox, made);
+    if (made.full || peer.outbox.revisionSendsLeft > 0)
+        made.message.revisions = listRevisions(self);
+    if (made.full)
+        addIntroductions(self, peer, now, made);
+    const bool near = peer.dataCentre == self.settings.dataCentre;
+    if (near || heartbeatPause(false, typicalPayload, counts) <= oldestUsefulLoad)
+        addLoads(self, peer.outbox, now, made);
+    return made;
+}
+
+/// Urgent news alone, so that it fits.
+draft makeUrgent(const node& self, const state::peer_record& peer)
+{
+    auto made = beginDraft(self);
+    if (peer.outbox.urgentRevisions)
+        made.message.revisions = listRevisions(self);
+    addConditions(peer.outbox, made);
+    return made;
+}
+
+void markLoads(const draft& sent, state::time_point now, state::peer_outbox& outbox)
+{
+    for (std::size_t entry = 0; entry < sent.loadServers.size(); ++entry) {
+        const auto index = sent.loadServers[entry];
+        if (outbox.loads.size() <= index)
+            outbox.loads.resize(index + 1);
+        auto& told = outbox.loads[index];
+        const auto inFlight = sent.message.loads[entry].inFlight;
+        if (told.inFlight != inFlight)
+            told.repeatsLeft = zeroLoadRepeats;
+        else if (inFlight == 0)
+            --told.repeatsLeft;
+        told.inFlight = inFlight;
+        told.at = now;
+    }
+    if (!sent.loadServers.empty())
+        outbox.nextLoad = sent.nextLoad;
+}
+
+void markConditions(const draft& sent, state::peer_outbox& outbox)
+{
+    const auto count = sent.message.conditions.size();
+    for (std::size_t index = 0; index < count; ++index)
+        --outbox.conditions[index].sendsLeft;
+    // Those that did not fit go first next time.
+    std::rotate(outbox.conditions.begin(), outbox.conditions.begin() + static_cast<std::ptrdiff_t>(count),
+        outbox.conditions.end());
+    std::erase_if(outbox.conditions, [](const auto& pending) { return pending.sendsLeft == 0; });
+    outbox.urgentConditions = std::any_of(outbox.conditions.begin(), outbox.conditions.end(),
+        [](const auto& pending) { return pending.sendsLeft == conditionSends; });
+}
+
+/// Keeps in mind what a peer has been told.
+void mark(const draft& sent, state::time_point now, state::peer_outbox& outbox)
+{
+    markLoads(sent, now, outbox);
+    markConditions(sent, outbox);
+    if (!sent.message.revisions.empty()) {
+        outbox.revisionSendsLeft -= outbox.revisionSendsLeft > 0 ? 1 : 0;
+        outbox.urgentRevisions = false;
+    }
+    if (sent.full) {
+        outbox.nextFullAt = now + fullInterval;
+        outbox.nextIntroduction = sent.nextIntroduction;
+    }
+}
+
+bool send(node& self, const std::string& address, state::peer_message message, send_class wanted, state::time_point now,
+    effect_list& effects)
+{
+    const auto bytes = boundMessageSize(message);
+    if (!takeBytes(self.controlBytes, bytes, wanted, now))
+        return false;
+    ++self.nextSequence;
+    ++self.counters.peerMessagesSent;
+    self.counters.controlBytesSent += bytes + datagramHeaderBytes;
+    effects.emplace_back(tell_peer { address, std::move(message) });
+    return true;
+}
+
+bool isNear(const node& self, const state::peer_record& peer) noexcept
+{
+    return peer.dataCentre == self.settings.dataCentre;
+}
+
+/// Sends urgent news to one group of peers.
+/// \return false when the bytes have run out
+bool tellUrgent(node& self, bool near, state::time_point now, effect_list& effects)
+{
+    for (auto& [id, peer] : self.peers) {
+        if (isNear(self, peer) != near || (!peer.outbox.urgentConditions && !peer.outbox.urgentRevisions))
+            continue;
+        const auto made = makeUrgent(self, peer);
+        if (!send(self, peer.address, made.message, send_class::urgent, now, effects))
+            return false;
+        mark(made, now, peer.outbox);
+    }
+    return true;
+}
+
+void tellUrgent(node& self, state::time_point now, effect_list& effects)
+{
+    if (tellUrgent(self, true, now, effects))
+        (void)tellUrgent(self, false, now, effects);
+}
+
+/// Peers in the order in which they are asked: heard before silent, near before far, otherwise by chance.
+std::vector<const state::peer_record*> orderToAsk(const node& self, state::time_point now, random_generator& random)
+{
+    struct ranked {
+        int rank;
+        std::uint32_t lot;
+        const state::peer_record* peer;
+    };
+    std::vector<ranked> order;
+    for (const auto& [id, peer] : self.peers)
+        order.push_back({ (isHeard(peer, now) ? 0 : 2) + (isNear(self, peer) ? 0 : 1), random(), &peer });
+    std::sort(order.begin(), order.end(), [](const ranked& left, const ranked& right) {
+        return std::tie(left.rank, left.lot) < std::tie(right.rank, right.lot);
+    });
+    std::vector<const state::peer_record*> peers;
+    for (const auto& entry : order)
+        peers.push_back(entry.peer);
+    return peers;
+}
+
+} // namespace
+
+void tellPeers(node& self, state::time_point now, effect_list& effects)
+{
+    tellUrgent(self, now, effects);
+    const auto counts = countPeers(self);
+    for (auto& [id, peer] : self.peers) {
+        if (now < peer.outbox.nextTellAt)
+            continue;
+        const auto made = makeHeartbeat(self, peer, counts, now);
+        const auto bytes = boundMessageSize(made.message);
+        if (!send(self, peer.address, made.message, send_class::heartbeat, now, effects))
+            return;
+        mark(made, now, peer.outbox);
+        peer.outbox.nextTellAt = now + heartbeatPause(isNear(self, peer), bytes, counts);
+    }
+}
+
+void tellConditionChange(node& self, const state::condition_change& change, state::time_point now, effect_list& effects)
+{
+    for (auto& [id, peer] : self.peers) {
+        std::erase_if(
+            peer.outbox.conditions, [&](const auto& pending) { return pending.change.server == change.server; });
+        peer.outbox.conditions.insert(peer.outbox.conditions.begin(), { change, conditionSends });
+        peer.outbox.urgentConditions = true;
+    }
+    tellUrgent(self, now, effects);
+}
+
+void tellRevisionChange(node& self, state::time_point now, effect_list& effects)
+{
+    for (auto& [id, peer] : self.peers) {
+        peer.outbox.revisionSendsLeft = revisionSends;
+        peer.outbox.urgentRevisions = isNear(self, peer);
+    }
+    tellUrgent(self, now, effects);
+}
+
+std::size_t askPeers(
+    node& self, std::uint64_t question, state::time_point now, random_generator& random, effect_list& effects)
+{
+    std::size_t asked = 0;
+    for (const auto* peer : orderToAsk(self, now, random)) {
+        auto made = beginDraft(self);
+        made.message.question = question;
+        if (asked == peersAsked || !send(self, peer->address, made.message, send_class::urgent, now, effects))
+            break;
+        ++asked;
+    }
+    return asked;
+}
+
+void answerPeer(
+    node& self, const state::peer_record& peer, std::uint64_t question, state::time_point now, effect_list& effects)
+{
+    auto made = beginDraft(self);
+    made.message.answerTo = question;
+    made.message.revisions = listRevisions(self);
+    (void)send(self, peer.address, std::move(made.message), send_class::urgent, now, effects);
+}
+
+} // namespace acaciaslip::coordination
--- /dev/null
+++ b/src/coordination/read_planning.cpp
@@ -0,0 +1,285 @@
+#include "coordination/read_planning.hpp"
+
+#include "coordination/membership.hpp"
+#include "coordination/node.hpp"
+#include "coordination/settings_spread.hpp"
+#include "coordination/value_keys.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+#include <xxhash.h>
+
+namespace acaciaslip::coordination {
+
+namespace {
+
+constexpr state::duration readPause = std::chrono::milliseconds { 100 }; ///< between two watches of one value
+constexpr state::duration shortestBackoff = std::chrono::milliseconds { 100 };
+constexpr state::duration longestBackoff = std::chrono::seconds { 8 };
+constexpr std::uint32_t mostDoublings = 7;
+constexpr state::duration answerMargin = std::chrono::seconds { 10 }; ///< after which a read is taken for lost
+constexpr std::uint32_t peersBeforePlatform = 3;
+constexpr std::size_t peersAskedAtStart = 2;
+constexpr std::size_t seedsAskedAtStart = 3;
+
+/// A span of the same mean, drawn evenly between its half and one and a half of it.
+state::duration jitter(state::duration span, random_generator& random)
+{
+    constexpr std::uint32_t steps = 1024;
+    return span / 2 + span / steps * random(steps);
+}
+
+state::duration backoff(std::uint32_t failures, random_generator& random)
+{
+    const auto doubled = shortestBackoff * (1U << std::min(failures, mostDoublings));
+    return jitter(std::min(doubled, longestBackoff), random);
+}
+
+bool takeCall(node& self, state::time_point now)
+{
+    auto& bucket = self.spread.platformCalls;
+    const auto listed = self.fleet.entryHosts.size();
+    const double hosts = listed == 0 ? assumedEntryHosts : static_cast<double>(listed);
+    const double passed = std::chrono::duration<double>(now - bucket.filledAt).count();
+    const double burst = std::max(leastCallBurst, fleetCallBurst / hosts);
+    bucket.tokens = std::min(burst, bucket.tokens + passed * fleetCallsPerSecond / hosts);
+    bucket.filledAt = now;
+    if (bucket.tokens < 1)
+        return false;
+    bucket.tokens -= 1;
+    return true;
+}
+
+bool isReading(const node& self, const state::value_key& key, read_purpose purpose)
+{
+    return std::any_of(self.spread.reads.begin(), self.spread.reads.end(),
+        [&](const outstanding_read& read) { return read.key == key && read.purpose == purpose; });
+}
+
+void startRead(node& self, outstanding_read read, state::duration wait, state::time_point now, effect_list& effects)
+{
+    read.askedAt = now;
+    read.givenUpAt = now + wait + answerMargin;
+    effects.emplace_back(
+        fetch_value { read.key, heldRevision(self, read.key), read.source, read.address, wait, read.askedAt });
+    self.spread.reads.push_back(std::move(read));
+}
+
+bool readPlatform(node& self, const state::value_key& key, read_purpose purpose, state::duration wait,
+    state::time_point now, effect_list& effects)
+{
+    if (self.settings.platform.empty() || !takeCall(self, now))
+        return false;
+    ++self.counters.platformReads;
+    const auto& address = self.settings.platform[self.spread.platformChoice % self.settings.platform.size()];
+    startRead(self, { key, state::value_source::platform, address, purpose, {}, {} }, wait, now, effects);
+    return true;
+}
+
+void readPeer(node& self, const state::value_key& key, const std::string& address, read_purpose purpose,
+    state::time_point now, effect_list& effects)
+{
+    ++self.counters.peerReads;
+    startRead(self, { key, state::value_source::peer, address, purpose, {}, {} }, {}, now, effects);
+}
+
+/// Whether a peer has said that it has what this node lacks.
+bool hasNewer(const node& self, const state::peer_record& peer, const state::value_key& key)
+{
+    const bool direct = isDirect(self, key);
+    const state::value_key said = direct ? key : state::value_key(indexKey);
+    const auto found = peer.revisions.find(said);
+    const auto wanted = direct ? heldRevision(self, key) + 1 : heldRevision(self, said);
+    return found != peer.revisions.end() && found->second >= wanted;
+}
+
+/// Picks whom to read from: near peers that have the value, then far ones, then any peer and the seeds.
+std::optional<std::string> pickPeer(
+    const node& self, const state::value_key& key, bool nearOnly, state::time_point now, random_generator& random)
+{
+    std::vector<const std::string*> near;
+    std::vector<const std::string*> far;
+    std::vector<const std::string*> any;
+    for (const auto& [id, peer] : self.peers) {
+        const bool has = isHeard(peer, now) && hasNewer(self, peer, key);
+        auto& group = !has ? any : (peer.dataCentre == self.settings.dataCentre ? near : far);
+        group.push_back(&peer.address);
+    }
+    for (const auto& seed : self.settings.seedPeers)
+        any.push_back(&seed);
+    if (!nearOnly || near.empty())
+        near.insert(near.end(), far.begin(), far.end());
+    const auto& group = near.empty() ? any : near;
+    if (group.empty())
+        return std::nullopt;
+    return *group[random(static_cast<std::uint32_t>(group.size()))];
+}
+
+void pullLacking(node& self, const state::value_key& key, key_progress& progress, state::time_point now,
+    random_generator& random, effect_list& effects)
+{
+    if (now < progress.nextPullAt || isReading(self, key, read_purpose::pull))
+        return;
+    // A watcher is the first to hear, so that its peers can't have the value yet.
+    const auto peersFirst = self.spread.watching && progress.failures == 0 ? 0 : peersBeforePlatform;
+    const auto peer
+        = progress.peersTried < peersFirst ? pickPeer(self, key, progress.peersTried == 0, now, random) : std::nullopt;
+    if (peer) {
+        ++progress.peersTried;
+        readPeer(self, key, *peer, read_purpose::pull, now, effects);
+        return;
+    }
+    progress.peersTried = 0;
+    if (!readPlatform(self, key, read_purpose::pull, {}, now, effects))
+        progress.nextPullAt = now + jitter(shortestBackoff, random);
+}
+
+/// Watches a value, or reads it now and then; the first read comes back at once.
+void followDirect(node& self, const state::value_key& key, key_progress& progress, state::time_point now,
+    random_generator& random, effect_list& effects)
+{
+    if (now < progress.nextReadAt || isReading(self, key, read_purpose::watch)
+        || isReading(self, key, read_purpose::safety))
+        return;
+    const bool watch = self.spread.watching && progress.platformAsked;
+    const auto purpose = watch ? read_purpose::watch : read_purpose::safety;
+    if (!readPlatform(self, key, purpose, watch ? watchWait : state::duration {}, now, effects))
+        progress.nextReadAt = now + jitter(readPause, random);
+}
+
+void askAtStart(node& self, const std::vector<std::string>& addresses, state::time_point now, effect_list& effects)
+{
+    for (const auto& address : addresses) {
+        for (const auto key : wellKnownKeys)
+            readPeer(self, state::value_key(key), address, read_purpose::start, now, effects);
+    }
+}
+
+/// Asks seeds, and peers as soon as a list names them, for the newest known.
+void planStart(node& self, state::time_point now, random_generator& random, effect_list& effects)
+{
+    if (!self.spread.startedAt)
+        self.spread.startedAt = now;
+    if (self.phase != node_phase::starting)
+        return;
+    if (!self.spread.seedsAsked) {
+        self.spread.seedsAsked = true;
+        auto seeds = self.settings.seedPeers;
+        seeds.resize(std::min(seeds.size(), seedsAskedAtStart));
+        askAtStart(self, seeds, now, effects);
+    }
+    if (!self.spread.peersAsked && !self.peers.empty()) {
+        self.spread.peersAsked = true;
+        std::vector<std::string> chosen;
+        for (std::size_t count = 0; count < peersAskedAtStart; ++count) {
+            if (const auto peer = pickPeer(self, state::value_key(indexKey), true, now, random))
+                chosen.push_back(*peer);
+        }
+        askAtStart(self, chosen, now, effects);
+    }
+}
+
+void giveUpLostReads(node& self, state::time_point now, random_generator& random)
+{
+    std::vector<outstanding_read> lost;
+    std::copy_if(self.spread.reads.begin(), self.spread.reads.end(), std::back_inserter(lost),
+        [now](const outstanding_read& read) { return now >= read.givenUpAt; });
+    for (const auto& read : lost)
+        noteValueReadFailed(self, { read.key, read.source, read.address, read.askedAt }, now, random);
+}
+
+std::optional<outstanding_read> removeRead(node& self, const state::value_key& key, state::value_source source,
+    const std::string& address, state::time_point askedAt)
+{
+    auto& reads = self.spread.reads;
+    const auto found = std::find_if(reads.begin(), reads.end(), [&](const outstanding_read& read) {
+        return read.key == key && read.source == source && read.address == address && read.askedAt == askedAt;
+    });
+    if (found == reads.end())
+        return std::nullopt;
+    auto removed = std::move(*found);
+    reads.erase(found);
+    return removed;
+}
+
+} // namespace
+
+void planReads(node& self, state::time_point now, random_generator& random, effect_list& effects)
+{
+    giveUpLostReads(self, now, random);
+    planStart(self, now, random, effects);
+    self.spread.watching = isWatcher(self, now);
+    for (const auto key : wellKnownKeys) {
+        if (isDirect(self, key))
+            followDirect(self, state::value_key(key), self.spread.keys[state::value_key(key)], now, random, effects);
+    }
+    for (auto& [key, progress] : self.spread.keys) {
+        if (isLacking(self, key))
+            pullLacking(self, key, progress, now, random, effects);
+    }
+    advanceStart(self, now, effects);
+}
+
+std::optional<read_purpose> endRead(node& self, const value_received& received)
+{
+    const auto read = removeRead(self, received.key, received.source, received.fromAddress, received.askedAt);
+    if (received.source == state::value_source::platform)
+        self.spread.keys[received.key].platformAsked = true;
+    return read ? std::optional(read->purpose) : std::nullopt;
+}
+
+void noteNothingRead(node& self, const state::value_key& key, std::optional<read_purpose> purpose,
+    state::value_source source, state::time_point now, random_generator& random)
+{
+    auto& progress = self.spread.keys[key];
+    if (purpose == read_purpose::pull) {
+        progress.nextPullAt = now + backoff(progress.failures, random);
+        ++progress.failures;
+    }
+    if (source == state::value_source::platform && purpose != read_purpose::pull)
+        progress.nextReadAt = now + (self.spread.watching ? jitter(readPause, random) : jitter(safetyInterval, random));
+}
+
+void noteValueReadFailed(node& self, const value_read_failed& failed, state::time_point now, random_generator& random)
+{
+    const auto read = removeRead(self, failed.key, failed.source, failed.fromAddress, failed.askedAt);
+    auto& progress = self.spread.keys[failed.key];
+    const auto pause = backoff(progress.failures, random);
+    if (failed.source == state::value_source::platform) {
+        progress.platformAsked = true;
+        progress.nextReadAt = now + pause;
+        ++self.spread.platformChoice;
+    }
+    if (!read || read->purpose == read_purpose::pull)
+        progress.nextPullAt = now + pause;
+    ++progress.failures;
+}
+
+std::size_t readDirectKeys(node& self, read_purpose purpose, state::time_point now, effect_list& effects)
+{
+    std::size_t started = 0;
+    for (const auto key : wellKnownKeys) {
+        if (isDirect(self, key) && readPlatform(self, state::value_key(key), purpose, {}, now, effects))
+            ++started;
+    }
+    return started;
+}
+
+bool isWatcher(const node& self, state::time_point now)
+{
+    const auto weigh = [&](const state::host_id& host) {
+        const auto& dataCentre = self.settings.dataCentre;
+        return XXH3_64bits_withSeed(host.data(), host.size(), XXH3_64bits(dataCentre.data(), dataCentre.size()));
+    };
+    const auto own = weigh(self.settings.id);
+    std::size_t ahead = 0;
+    for (const auto& [id, peer] : self.peers) {
+        const bool candidate
+            = peer.listed && !peer.leaving && isHeard(peer, now) && peer.dataCentre == self.settings.dataCentre;
+        ahead += candidate && weigh(id) > own ? 1 : 0;
+    }
+    return ahead < watchersPerDataCentre;
+}
+
+} // namespace acaciaslip::coordination
--- a/src/coordination/server_tags.cpp
+++ b/src/coordination/server_tags.cpp
@@ -14,7 +14,8 @@
     server_tags tags;
     tags.byTag.reserve(fleet.servers.size());
     for (state::server_index index = 0; index < fleet.servers.size(); ++index) {
-        const auto [position, added] = tags.byTag.try_emplace(tagOf(fleet.servers[index].id), index);
+        tags.byServer.push_back(tagOf(fleet.servers[index].id));
+        const auto [position, added] = tags.byTag.try_emplace(tags.byServer.back(), index);
         if (!added)
             position->second = std::nullopt;
     }
--- a/src/coordination/server_tags.hpp
+++ b/src/coordination/server_tags.hpp
@@ -5,6 +5,7 @@
 
 #include <optional>
 #include <string_view>
+#include <vector>
 
 #include <absl/container/flat_hash_map.h>
 
@@ -15,6 +16,7 @@
 /// A tag that two known servers share names neither: loads of such servers are not told.
 struct server_tags {
     absl::flat_hash_map<state::server_tag, std::optional<state::server_index>> byTag;
+    std::vector<state::server_tag> byServer; ///< by server index
 };
 
 /// The short form of a server's id.
--- a/src/coordination/settings_spread.cpp
+++ b/src/coordination/settings_spread.cpp
@@ -1,120 +1,290 @@
 #include "coordination/settings_spread.hpp"
 
 #include "coordination/fleet_update.hpp"
+#include "coordination/freshness.hpp"
 #include "coordination/membership.hpp"
 #include "coordination/node.hpp"
-#include "coordination/request_handling.hpp"
+#include "coordination/peer_telling.hpp"
+#include "coordination/read_planning.hpp"
+#include "coordination/value_keys.hpp"
 
-#include <string_view>
+#include <algorithm>
 
 namespace acaciaslip::coordination {
 
 namespace {
 
-constexpr state::duration watchWait = std::chrono::seconds { 5 };
-constexpr state::duration readInterval = std::chrono::milliseconds { 500 };
-constexpr state::duration retryInterval = std::chrono::milliseconds { 500 };
-constexpr std::string_view wellKnownKeys[]
-    = { "acaciaslip/index", "acaciaslip/templates", "acaciaslip/data_centres", "acaciaslip/hosts" };
+/// The most keys whose revisions are kept of one peer.
+constexpr std::size_t maxPeerRevisions = 8;
 
-std::map<state::value_key, std::string> bodiesWith(const node& self, const value_received& received)
+/// Values that would go in force together.
+using candidate_set = std::map<state::value_key, state::published_value>;
+
+/// What a set of values gives when it goes in force.
+struct trial {
+    state::fleet_settings settings;
+    candidate_set values;
+};
+
+bool isWellKnown(std::string_view key) noexcept
+{
+    return std::find(wellKnownKeys.begin(), wellKnownKeys.end(), key) != wellKnownKeys.end();
+}
+
+/// What the index names, once a set of values is in force.
+absl::StatusOr<std::map<state::value_key, state::revision>> readIndexed(const node& self, const candidate_set& values)
+{
+    const auto index = values.find(state::value_key(indexKey));
+    if (index == values.end())
+        return self.spread.indexed;
+    const auto settings = self.readSettings({ { index->first, index->second.body } });
+    if (!settings.ok())
+        return settings.status();
+    return settings->indexed;
+}
+
+/// Every body that would be in force. Once there is an index, a value that it does not name has no say.
+std::map<state::value_key, std::string> listBodies(
+    const node& self, const candidate_set& values, const std::map<state::value_key, state::revision>& indexed)
 {
+    const state::value_key index(indexKey);
+    const auto known = self.values.find(index);
+    const bool hasIndex = values.contains(index) || (known != self.values.end() && known->second.inForce.number > 0);
     std::map<state::value_key, std::string> bodies;
     for (const auto& [key, record] : self.values) {
         if (record.inForce.number > 0)
             bodies[key] = record.inForce.body;
     }
-    bodies[received.key] = received.body;
+    for (const auto& [key, value] : values)
+        bodies[key] = value.body;
+    if (hasIndex)
+        std::erase_if(
+            bodies, [&](const auto& body) { return !isWellKnown(body.first) && !indexed.contains(body.first); });
     return bodies;
 }
 
-/// Watches every team that the index names.
-void followIndex(node& self, const state::fleet_settings& settings)
+absl::StatusOr<trial> tryValues(const node& self, const candidate_set& values)
 {
-    for (const auto& [key, number] : settings.indexed)
-        self.values.try_emplace(key);
+    const auto indexed = readIndexed(self, values);
+    if (!indexed.ok())
+        return indexed.status();
+    auto settings = self.readSettings(listBodies(self, values, *indexed));
+    if (!settings.ok())
+        return settings.status();
+    return trial { *std::move(settings), values };
 }
 
-void putInForce(node& self, const value_received& received, const state::fleet_settings& settings,
-    state::time_point now, effect_list& effects)
+candidate_set listRefused(const node& self)
 {
-    auto& record = self.values[received.key];
-    record.inForce = { received.number, received.body, received.source, now };
-    record.refused.reset();
-    record.refusedBecause.clear();
-    followIndex(self, settings);
-    applySettings(self, settings, now);
-    self.serverTags = makeServerTags(self.fleet);
-    applyEntryHosts(self, settings, now);
-    if (self.phase == node_phase::starting && !self.fleet.services.empty()) {
-        self.phase = node_phase::serving;
-        self.phaseSince = now;
+    candidate_set refused;
+    for (const auto& [key, record] : self.values) {
+        if (record.refused)
+            refused[key] = *record.refused;
+    }
+    return refused;
+}
+
+/// Tries a value alone, then with all refused ones, then with each of them.
+absl::StatusOr<trial> tryCombinations(
+    const node& self, const state::value_key& key, const state::published_value& value)
+{
+    auto alone = tryValues(self, { { key, value } });
+    if (alone.ok())
+        return alone;
+    auto refused = listRefused(self);
+    refused.erase(key);
+    if (refused.empty())
+        return alone;
+    auto all = refused;
+    all[key] = value;
+    if (auto together = tryValues(self, all); together.ok())
+        return together;
+    for (const auto& other : refused) {
+        if (auto pair = tryValues(self, { { key, value }, other }); pair.ok())
+            return pair;
     }
-    effects.emplace_back(log_event { log_level::info, "value_in_force",
-        { { "key", received.key }, { "revision", std::to_string(received.number) } } });
+    return alone;
 }
 
-void keepLastGood(
-    node& self, const value_received& received, const absl::Status& why, state::time_point now, effect_list& effects)
+void logInForce(const candidate_set& values, effect_list& effects)
 {
-    auto& record = self.values[received.key];
-    record.refused = { received.number, received.body, received.source, now };
+    for (const auto& [key, value] : values)
+        effects.emplace_back(log_event { log_level::info, "value_in_force",
+            { { "key", key }, { "revision", std::to_string(value.number) },
+                { "source", std::string(state::findName(state::valueSourceNames, value.source)) } } });
+}
+
+void putInForce(node& self, trial accepted, state::time_point now, effect_list& effects)
+{
+    for (const auto& [key, value] : accepted.values) {
+        self.values[key] = { value, std::nullopt, {} };
+        auto& progress = self.spread.keys[key];
+        progress.failures = 0;
+        progress.peersTried = 0;
+    }
+    self.spread.indexed = accepted.settings.indexed;
+    for (const auto& [key, number] : self.spread.indexed) {
+        auto& newest = self.spread.keys[key].newestKnown;
+        newest = std::max(newest, number);
+    }
+    applySettings(self, accepted.settings, now);
+    self.serverTags = makeServerTags(self.fleet);
+    applyEntryHosts(self, accepted.settings, now);
+    logInForce(accepted.values, effects);
+}
+
+void keepLastGood(node& self, const state::value_key& key, state::published_value value, const absl::Status& why,
+    effect_list& effects)
+{
+    auto& record = self.values[key];
+    record.refused = std::move(value);
     record.refusedBecause = std::string(why.message());
     effects.emplace_back(log_event { log_level::warning, "value_refused",
-        { { "key", received.key }, { "revision", std::to_string(received.number) },
-            { "why", record.refusedBecause } } });
+        { { "key", key }, { "revision", std::to_string(record.refused->number) }, { "why", record.refusedBecause } } });
 }
 
-} // namespace
+/// Tries refused values again after a change, until none of them goes in force any more.
+void retryRefused(node& self, state::time_point now, effect_list& effects)
+{
+    for (bool changed = true; changed;) {
+        changed = false;
+        for (const auto& [key, value] : listRefused(self)) {
+            auto accepted = tryCombinations(self, key, value);
+            if (!accepted.ok()) {
+                self.values[key].refusedBecause = std::string(accepted.status().message());
+                continue;
+            }
+            putInForce(self, *std::move(accepted), now, effects);
+            changed = true;
+            break;
+        }
+    }
+}
 
-void noteValue(node& self, const value_received& received, state::time_point now, effect_list& effects)
+void takeNewer(node& self, const value_received& received, state::time_point now, effect_list& effects)
 {
-    self.spread.reading[received.key] = false;
-    self.spread.nextReadAt[received.key] = now + readInterval;
-    const auto& record = self.values[received.key];
-    if (received.number <= record.inForce.number)
-        return;
-    if (record.refused && received.number <= record.refused->number)
-        return;
-    const auto settings = self.readSettings(bodiesWith(self, received));
-    if (settings.ok())
-        putInForce(self, received, *settings, now, effects);
-    else
-        keepLastGood(self, received, settings.status(), now, effects);
+    state::published_value value { received.number, received.body, received.source, now };
+    auto accepted = tryCombinations(self, received.key, value);
+    if (!accepted.ok())
+        return keepLastGood(self, received.key, std::move(value), accepted.status(), effects);
+    putInForce(self, *std::move(accepted), now, effects);
+    retryRefused(self, now, effects);
 }
 
-void noteValueReadFailed(node& self, const value_read_failed& failed, state::time_point now, random_generator& random)
+/// Whether a value has a say here: named by the index, or read without it.
+bool isFollowed(const node& self, const state::value_key& key)
 {
-    self.spread.reading[failed.key] = false;
-    ++self.spread.platformChoice;
-    const auto jitter = std::chrono::milliseconds { random(500) };
-    self.spread.nextReadAt[failed.key] = now + retryInterval + jitter;
+    const auto index = self.values.find(state::value_key(indexKey));
+    const bool hasIndex = index != self.values.end() && index->second.inForce.number > 0;
+    return isWellKnown(key) || !hasIndex || self.spread.indexed.contains(key);
 }
 
-void serveValue(const node& self, const value_requested& requested, effect_list& effects)
+} // namespace
+
+void noteValue(
+    node& self, const value_received& received, state::time_point now, random_generator& random, effect_list& effects)
+{
+    const auto purpose = endRead(self, received);
+    self.counters.valueBytesReceived += received.body.size();
+    const auto before = listRevisions(self);
+    if (received.number > heldRevision(self, received.key) && isFollowed(self, received.key)) {
+        takeNewer(self, received, now, effects);
+        self.spread.keys[received.key].nextReadAt = now;
+    } else
+        noteNothingRead(self, received.key, purpose, received.source, now, random);
+    if (listRevisions(self) != before)
+        tellRevisionChange(self, now, effects);
+    noteFreshnessRead(self, received, now);
+    advanceStart(self, now, effects);
+}
+
+void serveValue(node& self, const value_requested& requested, effect_list& effects)
 {
     serve_value answer { requested.token, requested.key, 0, {} };
     const auto found = self.values.find(requested.key);
-    if (found != self.values.end() && found->second.inForce.number > requested.after) {
-        answer.number = found->second.inForce.number;
-        answer.body = found->second.inForce.body;
+    if (found != self.values.end() && heldRevision(self, requested.key) > requested.after) {
+        const auto& record = found->second;
+        const bool refusedIsNewer = record.refused && record.refused->number > record.inForce.number;
+        const auto& newest = refusedIsNewer ? *record.refused : record.inForce;
+        answer.number = newest.number;
+        answer.body = newest.body;
+        self.counters.valueBytesServed += newest.body.size();
     }
     effects.emplace_back(std::move(answer));
 }
 
-void planReads(node& self, state::time_point now, random_generator& /*random*/, effect_list& effects)
+void notePeerRevisions(
+    node& self, state::peer_record& peer, const state::peer_message& message, state::time_point /*now*/)
 {
-    for (const auto key : wellKnownKeys)
-        self.values.try_emplace(std::string(key));
-    for (const auto& [key, record] : self.values) {
-        if (self.spread.reading[key] || now < self.spread.nextReadAt[key] || self.settings.platform.empty())
+    for (const auto& [key, number] : message.revisions) {
+        if (!isWellKnown(key) || (!peer.revisions.contains(key) && peer.revisions.size() >= maxPeerRevisions))
             continue;
-        self.spread.reading[key] = true;
-        ++self.counters.platformReads;
-        const auto& address = self.settings.platform[self.spread.platformChoice % self.settings.platform.size()];
-        effects.emplace_back(
-            fetch_value { key, record.inForce.number, state::value_source::platform, address, watchWait, now });
+        peer.revisions[key] = number;
+        auto& newest = self.spread.keys[key].newestKnown;
+        newest = std::max(newest, number);
     }
 }
 
+std::vector<state::value_revision> listRevisions(const node& self)
+{
+    std::vector<state::value_revision> revisions;
+    for (const auto key : wellKnownKeys) {
+        const state::value_key name(key);
+        const auto held = heldRevision(self, name);
+        if (held > 0 && isDirect(self, key))
+            revisions.push_back({ name, held });
+    }
+    return revisions;
+}
+
+bool isDirect(const node& self, std::string_view key)
+{
+    return key == indexKey || (isWellKnown(key) && !self.spread.indexed.contains(state::value_key(key)));
+}
+
+state::revision heldRevision(const node& self, const state::value_key& key)
+{
+    const auto found = self.values.find(key);
+    if (found == self.values.end())
+        return 0;
+    const auto& record = found->second;
+    return std::max(record.inForce.number, record.refused ? record.refused->number : 0);
+}
+
+bool isLacking(const node& self, const state::value_key& key)
+{
+    const auto found = self.spread.keys.find(key);
+    return found != self.spread.keys.end() && found->second.newestKnown > heldRevision(self, key)
+        && isFollowed(self, key);
+}
+
+bool isAnyLacking(const node& self)
+{
+    return std::any_of(self.spread.keys.begin(), self.spread.keys.end(),
+        [&](const auto& entry) { return isLacking(self, entry.first); });
+}
+
+void advanceStart(node& self, state::time_point now, effect_list& effects)
+{
+    if (self.phase != node_phase::starting || !self.spread.startedAt)
+        return;
+    const auto& spread = self.spread;
+    const bool asking = std::any_of(spread.reads.begin(), spread.reads.end(),
+                            [](const outstanding_read& read) { return read.purpose == read_purpose::start; })
+        || (!self.settings.platform.empty()
+            && std::any_of(wellKnownKeys.begin(), wellKnownKeys.end(), [&](std::string_view key) {
+                   const auto found = spread.keys.find(state::value_key(key));
+                   return isDirect(self, key) && (found == spread.keys.end() || !found->second.platformAsked);
+               }));
+    const bool hasIndex = heldRevision(self, state::value_key(indexKey)) > 0;
+    const bool isCaughtUp = hasIndex && !asking && !isAnyLacking(self);
+    const bool hasWaited = now - *spread.startedAt >= startBound && !self.fleet.services.empty();
+    if (!isCaughtUp && !hasWaited)
+        return;
+    self.phase = node_phase::serving;
+    self.phaseSince = now;
+    effects.emplace_back(
+        log_event { log_level::info, "phase", { { "phase", "serving" }, { "caught_up", isCaughtUp ? "yes" : "no" } } });
+}
+
 } // namespace acaciaslip::coordination
--- a/src/state/peer_message.hpp
+++ b/src/state/peer_message.hpp
@@ -30,7 +30,7 @@
     [[nodiscard]] bool operator==(const condition_change&) const = default;
 };
 
-/// The newest revision of a value that the sender has in force.
+/// The newest revision of a value that the sender has.
 struct value_revision {
     value_key key;
     revision number = 0;
--- /dev/null
+++ b/tests/coordination/settings_spread_test.cpp
@@ -0,0 +1,192 @@
+#include "coordination/small_fleet.hpp"
+
+#include <gtest/gtest.h>
+
+namespace acaciaslip::coordination {
+namespace {
+
+const state::value_key firstTeam = "acaciaslip/teams/0";
+
+class settings_spread_test : public testing::Test {
+protected:
+    void startFleet(fleet_plan plan = {})
+    {
+        m_plan = plan;
+        m_plan.publish(m_fleet);
+        m_plan.startAll(m_fleet);
+        m_fleet.run(5s);
+    }
+
+    state::revision inForce(const std::string& id, const state::value_key& key)
+    {
+        return m_fleet[id].values[key].inForce.number;
+    }
+
+    bool isServingEverywhere()
+    {
+        return std::all_of(m_fleet.members.begin(), m_fleet.members.end(),
+            [](const auto& entry) { return entry.second.self->phase == node_phase::serving; });
+    }
+
+    bool hasActiveService(const std::string& id, const std::string& name)
+    {
+        const auto& fleet = m_fleet[id].fleet;
+        const auto found = fleet.serviceIndexes.find(state::service_name { "team", name });
+        return found != fleet.serviceIndexes.end() && fleet.services[found->second].active;
+    }
+
+    small_fleet m_fleet;
+    fleet_plan m_plan;
+    std::string m_first = "entry-000";
+};
+
+TEST_F(settings_spread_test, Change_PublishedOnce_IsInForceEverywhereWithinASecond)
+{
+    startFleet();
+    ASSERT_TRUE(m_fleet.isEverywhere(firstTeam, 1));
+    m_plan.changeTeam(m_fleet, 2);
+    const auto took = m_fleet.runUntil([&] { return m_fleet.isEverywhere(firstTeam, 2); }, 5s);
+    ASSERT_TRUE(took);
+    EXPECT_LE(*took, 1s);
+}
+
+TEST_F(settings_spread_test, Change_WithDatagramsLost_IsInForceEverywhereWithinFiveSeconds)
+{
+    random_generator lots(9);
+    m_fleet.loses = [&](const auto& /*from*/, const auto& /*to*/) { return lots(10) < 3; };
+    startFleet();
+    m_plan.changeTeam(m_fleet, 2);
+    EXPECT_TRUE(m_fleet.runUntil([&] { return m_fleet.isEverywhere(firstTeam, 2); }, 5s));
+}
+
+TEST_F(settings_spread_test, Platform_ServesOldRevision_NothingReverts)
+{
+    startFleet();
+    m_plan.changeTeam(m_fleet, 5);
+    m_fleet.run(2s);
+    ASSERT_TRUE(m_fleet.isEverywhere(firstTeam, 5));
+    m_plan.changeTeam(m_fleet, 3);
+    m_fleet.start("entry-004", m_plan.dataCentreOf(4));
+    m_fleet.run(10s);
+    EXPECT_TRUE(m_fleet.isEverywhere(firstTeam, 5));
+    EXPECT_TRUE(m_fleet.isEverywhere(state::value_key(indexKey), 5));
+}
+
+TEST_F(settings_spread_test, NodeStartsEmpty_PlatformDown_TakesNewestFromSeedsBeforeItServes)
+{
+    startFleet();
+    m_plan.changeTeam(m_fleet, 2);
+    m_fleet.run(2s);
+    m_fleet.platform.down = true;
+    m_fleet.start(m_first, "dc-0", { small_fleet::addressOf("entry-001"), small_fleet::addressOf("entry-002") });
+    ASSERT_TRUE(m_fleet.runUntil([&] { return m_fleet[m_first].phase == node_phase::serving; }, 5s));
+    EXPECT_EQ(inForce(m_first, firstTeam), 2U);
+}
+
+TEST_F(settings_spread_test, NodeStartsEmpty_PlatformStale_TakesNewestFromPeersBeforeItServes)
+{
+    startFleet();
+    m_plan.changeTeam(m_fleet, 2);
+    m_fleet.run(2s);
+    m_plan.changeTeam(m_fleet, 1);
+    m_fleet.start(m_first, "dc-0");
+    ASSERT_TRUE(m_fleet.runUntil([&] { return m_fleet[m_first].phase == node_phase::serving; }, 5s));
+    EXPECT_EQ(inForce(m_first, firstTeam), 2U);
+    EXPECT_EQ(inForce(m_first, state::value_key(indexKey)), 2U);
+}
+
+TEST_F(settings_spread_test, NodeStartsEmpty_OthersDead_ServesAfterBoundedWait)
+{
+    m_plan.publish(m_fleet);
+    m_fleet.start(m_first, "dc-0", { "at-nobody" });
+    EXPECT_TRUE(m_fleet.runUntil([&] { return m_fleet[m_first].phase == node_phase::serving; }, 4s));
+}
+
+TEST_F(settings_spread_test, NodeCutFromPlatform_Change_ComesFromPeers)
+{
+    startFleet();
+    for (auto& [id, member] : m_fleet.members)
+        member.cutFromPlatform = id != "entry-007";
+    m_plan.changeTeam(m_fleet, 2);
+    EXPECT_TRUE(m_fleet.runUntil([&] { return m_fleet.isEverywhere(firstTeam, 2); }, 60s));
+}
+
+TEST_F(settings_spread_test, Value_NotValid_LastGoodStaysAndSaysWhy)
+{
+    startFleet();
+    m_fleet.publish(templatesKey, 2, "bad");
+    m_fleet.run(2s);
+    EXPECT_TRUE(m_fleet.isEverywhere(state::value_key(templatesKey), 1));
+    EXPECT_EQ(m_fleet[m_first].values[state::value_key(templatesKey)].refusedBecause, "acaciaslip/templates is bad");
+    EXPECT_TRUE(hasActiveService(m_first, "service-0"));
+}
+
+TEST_F(settings_spread_test, Team_ArrivesBeforeItsTemplates_IsTriedAgain)
+{
+    startFleet();
+    m_fleet.publish(firstTeam, 2, "service-0 2 9");
+    m_fleet.publish(indexKey, 2, "acaciaslip/teams/0 2\n");
+    m_fleet.run(2s);
+    EXPECT_EQ(inForce(m_first, firstTeam), 1U);
+    m_fleet.publish(templatesKey, 2, "2");
+    EXPECT_TRUE(m_fleet.runUntil([&] { return m_fleet.isEverywhere(firstTeam, 2); }, 5s));
+}
+
+TEST_F(settings_spread_test, ValuesThatAreOnlyValidTogether_ArriveOneByOne_GoInForceTogether)
+{
+    startFleet();
+    for (const std::string team : { "0", "1", "2" })
+        m_fleet.publish("acaciaslip/teams/" + team, 2, "service-" + team + " 20 29");
+    m_fleet.publish(indexKey, 2, "acaciaslip/teams/0 2\nacaciaslip/teams/1 2\nacaciaslip/teams/2 2\n");
+    m_fleet.publish(templatesKey, 2, "20");
+    EXPECT_TRUE(m_fleet.runUntil(
+        [&] { return m_fleet.isEverywhere(firstTeam, 2) && m_fleet.isEverywhere("acaciaslip/teams/2", 2); }, 5s));
+    EXPECT_TRUE(m_fleet.isEverywhere(state::value_key(templatesKey), 2));
+}
+
+TEST_F(settings_spread_test, Team_GoneFromIndex_ItsServicesGoAndComeBack)
+{
+    startFleet();
+    m_fleet.publish(indexKey, 2, "acaciaslip/teams/1 1\n");
+    m_fleet.run(2s);
+    EXPECT_FALSE(hasActiveService(m_first, "service-0"));
+    EXPECT_TRUE(hasActiveService(m_first, "service-1"));
+    m_fleet.publish(indexKey, 1, "acaciaslip/teams/0 1\n");
+    m_fleet.run(40s);
+    EXPECT_FALSE(hasActiveService(m_first, "service-0"));
+    m_fleet.publish(indexKey, 3, "acaciaslip/teams/0 1\nacaciaslip/teams/1 1\n");
+    m_fleet.run(2s);
+    EXPECT_TRUE(hasActiveService(m_first, "service-0"));
+}
+
+TEST_F(settings_spread_test, FleetSize_SteadyChangeAndRestart_CallsStayUnderTheirShare)
+{
+    for (const std::size_t nodes : { 16U, 64U, 256U }) {
+        m_fleet.~small_fleet();
+        new (&m_fleet) small_fleet(nodes);
+        startFleet({ nodes, nodes == 16 ? 3U : 11U, 20, 34 });
+        EXPECT_TRUE(m_fleet.runUntil([&] { return isServingEverywhere(); }, 10s)) << nodes;
+        m_plan.changeTeam(m_fleet, 2);
+        const auto took = m_fleet.runUntil([&] { return m_fleet.isEverywhere(firstTeam, 2); }, 5s);
+        EXPECT_TRUE(took) << nodes;
+        m_plan.startAll(m_fleet);
+        m_fleet.run(5s);
+        EXPECT_TRUE(m_fleet.isEverywhere(firstTeam, 2)) << nodes;
+        EXPECT_LT(m_fleet.platform.countBusiestSecond({}, m_fleet.now), 2000U) << nodes;
+    }
+}
+
+TEST_F(settings_spread_test, Restart_PlatformDownForAllNodes_CallsStayUnderTheirShare)
+{
+    m_plan = { 256, 11, 20, 34 };
+    m_plan.publish(m_fleet);
+    m_fleet.platform.down = true;
+    m_plan.startAll(m_fleet);
+    m_fleet.run(5s);
+    EXPECT_LT(m_fleet.platform.countBusiestSecond({}, m_fleet.now), 2000U);
+    m_fleet.platform.down = false;
+    EXPECT_TRUE(m_fleet.runUntil([&] { return m_fleet.isEverywhere(firstTeam, 1); }, 20s));
+}
+
+} // namespace
+} // namespace acaciaslip::coordination
