--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -14,6 +14,7 @@
 
 /// After so long a silence a peer's incarnation is forgotten, in case its clock, which numbers them, was set back.
 constexpr state::duration incarnationMemory = std::chrono::seconds { 30 };
+constexpr state::duration sweepInterval = std::chrono::milliseconds { 100 };
 
 bool isReplay(const state::peer_record& peer, const state::peer_message& message) noexcept
 {
@@ -64,6 +65,7 @@
         peer.id = host.id;
         peer.address = host.address;
         peer.dataCentre = host.dataCentre;
+        peer.near = host.dataCentre == self.settings.dataCentre;
         peer.vouchedUntil = now + vouchingLasts;
     }
 }
@@ -98,6 +100,7 @@
     peer.id = host.id;
     peer.address = host.peerAddress;
     peer.dataCentre = host.dataCentre;
+    peer.near = host.dataCentre == self.settings.dataCentre;
     peer.listed = true;
     peer.listedLeaving = host.listing == state::host_listing::leaving;
     peer.leaving |= peer.listedLeaving;
@@ -137,11 +140,14 @@
 
 void forgetSilentPeers(node& self, state::time_point now)
 {
+    if (now < self.telling.nextSweepAt)
+        return;
+    self.telling.nextSweepAt = now + sweepInterval;
     for (auto& [id, peer] : self.peers) {
         if (!peer.heardAt)
             continue;
         const auto silent = now - *peer.heardAt;
-        if (silent > (peer.dataCentre == self.settings.dataCentre ? nearLoadExpiry : farLoadExpiry))
+        if (silent > (peer.near ? nearLoadExpiry : farLoadExpiry))
             forgetLoads(self, peer);
         if (silent > incarnationMemory)
             peer.incarnation = 0;
--- a/src/coordination/node.hpp
+++ b/src/coordination/node.hpp
@@ -4,7 +4,7 @@
 #include "coordination/events.hpp"
 #include "coordination/forward_declarations.hpp"
 #include "coordination/freshness.hpp"
-#include "coordination/peer_budget.hpp"
+#include "coordination/peer_telling.hpp"
 #include "coordination/server_tags.hpp"
 #include "coordination/spread_state.hpp"
 #include "state/fleet.hpp"
@@ -85,7 +85,7 @@
     state::request_ledger requests;
     state::peer_table peers;
     std::uint64_t nextSequence = 1;
-    byte_bucket controlBytes;
+    telling_state telling;
     spread_state spread;
     freshness_state freshness;
     node_counters counters;
--- a/src/coordination/peer_budget.cpp
+++ b/src/coordination/peer_budget.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr state::duration shortestNearPause = std::chrono::milliseconds { 20 };
-constexpr state::duration shortestFarPause = std::chrono::seconds { 1 };
+constexpr state::duration shortestFarRound = std::chrono::seconds { 1 };
 
 state::duration toDuration(double seconds) noexcept
 {
@@ -23,7 +23,7 @@
 {
     peer_counts counts { 0, self.peers.size() };
     for (const auto& [id, peer] : self.peers)
-        counts.near += peer.dataCentre == self.settings.dataCentre ? 1 : 0;
+        counts.near += peer.near ? 1 : 0;
     return counts;
 }
 
@@ -40,12 +40,22 @@
     return true;
 }
 
-state::duration heartbeatPause(bool near, std::size_t payload, const peer_counts& counts) noexcept
+state::duration nearPause(std::size_t payload, const peer_counts& counts) noexcept
 {
     const auto bytes = static_cast<double>(payload + datagramHeaderBytes);
-    if (near)
-        return std::max(shortestNearPause, toDuration(bytes * static_cast<double>(counts.near) / nearBytesPerSecond));
-    return std::max(shortestFarPause, toDuration(bytes * static_cast<double>(counts.all) / farBytesPerSecond));
+    return std::max(shortestNearPause, toDuration(bytes * static_cast<double>(counts.near) / nearBytesPerSecond));
+}
+
+state::duration farPause(std::size_t payload, const peer_counts& counts) noexcept
+{
+    const auto far = std::max<std::size_t>(1, counts.all - counts.near);
+    return farRound(payload, counts) / far;
+}
+
+state::duration farRound(std::size_t payload, const peer_counts& counts) noexcept
+{
+    const auto bytes = static_cast<double>(payload + datagramHeaderBytes);
+    return std::max(shortestFarRound, toDuration(bytes * static_cast<double>(counts.all) / farBytesPerSecond));
 }
 
 } // namespace acaciaslip::coordination
--- a/src/coordination/peer_budget.hpp
+++ b/src/coordination/peer_budget.hpp
@@ -14,8 +14,10 @@
 inline constexpr double sentBytesPerSecond = controlBytesPerSecond / 2;
 /// The most that may be sent at once, in bytes; burst and refill together stay within one second's bytes.
 inline constexpr double sentBurstBytes = 1500;
+/// Bytes a second kept back, since what a node receives is not spread evenly within a second.
+inline constexpr double unevenBytesPerSecond = 600;
 /// Bytes a second that the bucket refills with.
-inline constexpr double sentRefillBytes = sentBytesPerSecond - sentBurstBytes;
+inline constexpr double sentRefillBytes = sentBytesPerSecond - sentBurstBytes - unevenBytesPerSecond;
 /// What heartbeats leave in the bucket for urgent messages, in bytes.
 inline constexpr double urgentReserveBytes = sentBurstBytes / 2;
 /// Bytes a second for heartbeats to all peers of our data centre together.
@@ -52,9 +54,18 @@
 [[nodiscard]] bool takeBytes(
     byte_bucket& bucket, std::size_t payload, send_class wanted, state::time_point now) noexcept;
 
-/// The pause after a heartbeat that keeps its peer's share of the bytes.
+/// The pause until a near peer's next heartbeat that keeps its share of the bytes.
 /// \details Every node divides by the number of peers, so that what one receives from all stays within the same sum.
-/// \param payload bytes without headers
-[[nodiscard]] state::duration heartbeatPause(bool near, std::size_t payload, const peer_counts& counts) noexcept;
+/// \param payload bytes of the last heartbeat, without headers
+[[nodiscard]] state::duration nearPause(std::size_t payload, const peer_counts& counts) noexcept;
+
+/// The pause until the next far peer's heartbeat; far peers take turns.
+/// \details A node among few of a data centre has many far peers, which each divide by all peers, not by their far
+/// ones alone: what one receives from all far peers together stays within the same sum.
+/// \param payload bytes of the last heartbeat, without headers
+[[nodiscard]] state::duration farPause(std::size_t payload, const peer_counts& counts) noexcept;
+
+/// How long it takes until each far peer has had its turn.
+[[nodiscard]] state::duration farRound(std::size_t payload, const peer_counts& counts) noexcept;
 
 } // namespace acaciaslip::coordination
--- a/src/coordination/peer_telling.cpp
+++ b/src/coordination/peer_telling.cpp
@@ -111,8 +111,7 @@
         made.message.revisions = listRevisions(self);
     if (made.full)
         addIntroductions(self, peer, now, made);
-    const bool near = peer.dataCentre == self.settings.dataCentre;
-    if (near || heartbeatPause(false, typicalPayload, counts) <= oldestUsefulLoad)
+    if (peer.near || farRound(typicalPayload, counts) <= oldestUsefulLoad)
         addLoads(self, peer.outbox, now, made);
     return made;
 }
@@ -178,7 +177,7 @@
     effect_list& effects)
 {
     const auto bytes = boundMessageSize(message);
-    if (!takeBytes(self.controlBytes, bytes, wanted, now))
+    if (!takeBytes(self.telling.bytes, bytes, wanted, now))
         return false;
     ++self.nextSequence;
     ++self.counters.peerMessagesSent;
@@ -187,30 +186,86 @@
     return true;
 }
 
-bool isNear(const node& self, const state::peer_record& peer) noexcept
+/// Visits every peer, beginning after our own id, so that not all nodes begin with the same peer.
+/// \param visit returns false to end
+template <typename Visit> bool visitPeers(node& self, Visit visit)
 {
-    return peer.dataCentre == self.settings.dataCentre;
+    const auto middle = self.peers.upper_bound(self.settings.id);
+    const auto visitRange = [&](auto first, auto last) {
+        return std::all_of(first, last, [&](auto& entry) { return visit(entry.second); });
+    };
+    return visitRange(middle, self.peers.end()) && visitRange(self.peers.begin(), middle);
 }
 
 /// Sends urgent news to one group of peers.
 /// \return false when the bytes have run out
 bool tellUrgent(node& self, bool near, state::time_point now, effect_list& effects)
 {
-    for (auto& [id, peer] : self.peers) {
-        if (isNear(self, peer) != near || (!peer.outbox.urgentConditions && !peer.outbox.urgentRevisions))
-            continue;
+    return visitPeers(self, [&](state::peer_record& peer) {
+        if (peer.near != near || (!peer.outbox.urgentConditions && !peer.outbox.urgentRevisions))
+            return true;
         const auto made = makeUrgent(self, peer);
         if (!send(self, peer.address, made.message, send_class::urgent, now, effects))
             return false;
         mark(made, now, peer.outbox);
-    }
-    return true;
+        return true;
+    });
 }
 
 void tellUrgent(node& self, state::time_point now, effect_list& effects)
 {
-    if (tellUrgent(self, true, now, effects))
-        (void)tellUrgent(self, false, now, effects);
+    if (self.telling.hasUrgentNews && tellUrgent(self, true, now, effects) && tellUrgent(self, false, now, effects))
+        self.telling.hasUrgentNews = false;
+}
+
+/// Sends a heartbeat.
+/// \return the bytes of its payload; nothing when there was no room
+std::optional<std::size_t> sendHeartbeat(
+    node& self, state::peer_record& peer, const peer_counts& counts, state::time_point now, effect_list& effects)
+{
+    const auto made = makeHeartbeat(self, peer, counts, now);
+    if (!send(self, peer.address, made.message, send_class::heartbeat, now, effects))
+        return std::nullopt;
+    mark(made, now, peer.outbox);
+    return boundMessageSize(made.message);
+}
+
+void tellNear(node& self, const peer_counts& counts, state::time_point now, effect_list& effects)
+{
+    (void)visitPeers(self, [&](state::peer_record& peer) {
+        if (!peer.near || now < peer.outbox.nextTellAt)
+            return true;
+        const auto bytes = sendHeartbeat(self, peer, counts, now, effects);
+        if (bytes)
+            peer.outbox.nextTellAt = now + nearPause(*bytes, counts);
+        return bytes.has_value();
+    });
+}
+
+/// The far peer whose turn it is.
+state::peer_record* findNextFar(node& self)
+{
+    const auto& last = self.telling.lastFar;
+    const auto start = self.peers.upper_bound(last.empty() ? self.settings.id : last);
+    const auto isFar = [](const auto& entry) { return !entry.second.near; };
+    auto found = std::find_if(start, self.peers.end(), isFar);
+    if (found == self.peers.end())
+        found = std::find_if(self.peers.begin(), start, isFar);
+    return found == self.peers.end() || found->second.near ? nullptr : &found->second;
+}
+
+void tellFar(node& self, const peer_counts& counts, state::time_point now, effect_list& effects)
+{
+    if (now < self.telling.nextFarAt)
+        return;
+    auto* const peer = findNextFar(self);
+    if (peer == nullptr)
+        return;
+    const auto bytes = sendHeartbeat(self, *peer, counts, now, effects);
+    if (!bytes)
+        return;
+    self.telling.lastFar = peer->id;
+    self.telling.nextFarAt = now + farPause(*bytes, counts);
 }
 
 /// Peers in the order in which they are asked: heard before silent, near before far, otherwise by chance.
@@ -223,7 +278,7 @@
     };
     std::vector<ranked> order;
     for (const auto& [id, peer] : self.peers)
-        order.push_back({ (isHeard(peer, now) ? 0 : 2) + (isNear(self, peer) ? 0 : 1), random(), &peer });
+        order.push_back({ (isHeard(peer, now) ? 0 : 2) + (peer.near ? 0 : 1), random(), &peer });
     std::sort(order.begin(), order.end(), [](const ranked& left, const ranked& right) {
         return std::tie(left.rank, left.lot) < std::tie(right.rank, right.lot);
     });
@@ -239,16 +294,8 @@
 {
     tellUrgent(self, now, effects);
     const auto counts = countPeers(self);
-    for (auto& [id, peer] : self.peers) {
-        if (now < peer.outbox.nextTellAt)
-            continue;
-        const auto made = makeHeartbeat(self, peer, counts, now);
-        const auto bytes = boundMessageSize(made.message);
-        if (!send(self, peer.address, made.message, send_class::heartbeat, now, effects))
-            return;
-        mark(made, now, peer.outbox);
-        peer.outbox.nextTellAt = now + heartbeatPause(isNear(self, peer), bytes, counts);
-    }
+    tellFar(self, counts, now, effects);
+    tellNear(self, counts, now, effects);
 }
 
 void tellConditionChange(node& self, const state::condition_change& change, state::time_point now, effect_list& effects)
@@ -259,6 +306,7 @@
         peer.outbox.conditions.insert(peer.outbox.conditions.begin(), { change, conditionSends });
         peer.outbox.urgentConditions = true;
     }
+    self.telling.hasUrgentNews = true;
     tellUrgent(self, now, effects);
 }
 
@@ -266,8 +314,9 @@
 {
     for (auto& [id, peer] : self.peers) {
         peer.outbox.revisionSendsLeft = revisionSends;
-        peer.outbox.urgentRevisions = isNear(self, peer);
+        peer.outbox.urgentRevisions = peer.near;
     }
+    self.telling.hasUrgentNews = true;
     tellUrgent(self, now, effects);
 }
 
--- a/src/coordination/peer_telling.hpp
+++ b/src/coordination/peer_telling.hpp
@@ -2,11 +2,21 @@
 
 #include "coordination/effects.hpp"
 #include "coordination/forward_declarations.hpp"
+#include "coordination/peer_budget.hpp"
 #include "state/peer_table.hpp"
 #include "state/time.hpp"
 
 namespace acaciaslip::coordination {
 
+/// What governs a node's datagrams as a whole.
+struct telling_state {
+    byte_bucket bytes;
+    state::time_point nextFarAt; ///< of the next heartbeat to a peer of another data centre
+    state::host_id lastFar; ///< who had the last one; they take turns
+    bool hasUrgentNews = false; ///< some peer is still to be told urgent news
+    state::time_point nextSweepAt; ///< when silent peers are next looked for
+};
+
 /// Sends the datagrams that are due: urgent news first, then heartbeats with the loads that changed.
 /// \details Near peers hear as often as the bytes allow, others seldom. What does not fit waits for the next call.
 void tellPeers(node& self, state::time_point now, effect_list& effects);
--- a/src/coordination/read_planning.cpp
+++ b/src/coordination/read_planning.cpp
@@ -18,7 +18,9 @@
 constexpr state::duration shortestBackoff = std::chrono::milliseconds { 100 };
 constexpr state::duration longestBackoff = std::chrono::seconds { 8 };
 constexpr std::uint32_t mostDoublings = 7;
+constexpr std::uint32_t missesPerDoubling = 6; ///< of peers: they cost little, and another may have the value soon
 constexpr state::duration answerMargin = std::chrono::seconds { 10 }; ///< after which a read is taken for lost
+constexpr state::duration watcherCheckInterval = std::chrono::milliseconds { 200 };
 constexpr std::uint32_t peersBeforePlatform = 3;
 constexpr std::size_t peersAskedAtStart = 2;
 constexpr std::size_t seedsAskedAtStart = 3;
@@ -36,6 +38,16 @@
     return jitter(std::min(doubled, longestBackoff), random);
 }
 
+/// A read brought nothing: the next one waits, the longer the more have.
+void noteMiss(key_progress& progress, state::value_source source, state::time_point now, random_generator& random)
+{
+    progress.nextPullAt = now + backoff(progress.peerMisses / missesPerDoubling, random);
+    if (source == state::value_source::peer)
+        ++progress.peerMisses;
+    else
+        progress.platformAfter = now + backoff(progress.platformMisses++, random);
+}
+
 bool takeCall(node& self, state::time_point now)
 {
     auto& bucket = self.spread.platformCalls;
@@ -103,7 +115,7 @@
     std::vector<const std::string*> any;
     for (const auto& [id, peer] : self.peers) {
         const bool has = isHeard(peer, now) && hasNewer(self, peer, key);
-        auto& group = !has ? any : (peer.dataCentre == self.settings.dataCentre ? near : far);
+        auto& group = !has ? any : (peer.near ? near : far);
         group.push_back(&peer.address);
     }
     for (const auto& seed : self.settings.seedPeers)
@@ -122,16 +134,17 @@
     if (now < progress.nextPullAt || isReading(self, key, read_purpose::pull))
         return;
     // A watcher is the first to hear, so that its peers can't have the value yet.
-    const auto peersFirst = self.spread.watching && progress.failures == 0 ? 0 : peersBeforePlatform;
-    const auto peer
-        = progress.peersTried < peersFirst ? pickPeer(self, key, progress.peersTried == 0, now, random) : std::nullopt;
+    const auto peersFirst = self.spread.watching && progress.platformMisses == 0 ? 0 : peersBeforePlatform;
+    if (progress.peersTried >= peersFirst && now >= progress.platformAfter
+        && readPlatform(self, key, read_purpose::pull, {}, now, effects)) {
+        progress.peersTried = 0;
+        return;
+    }
+    const auto peer = pickPeer(self, key, progress.peersTried == 0, now, random);
     if (peer) {
         ++progress.peersTried;
         readPeer(self, key, *peer, read_purpose::pull, now, effects);
-        return;
-    }
-    progress.peersTried = 0;
-    if (!readPlatform(self, key, read_purpose::pull, {}, now, effects))
+    } else
         progress.nextPullAt = now + jitter(shortestBackoff, random);
 }
 
@@ -209,7 +222,10 @@
 {
     giveUpLostReads(self, now, random);
     planStart(self, now, random, effects);
-    self.spread.watching = isWatcher(self, now);
+    if (now >= self.spread.nextWatcherCheckAt) {
+        self.spread.nextWatcherCheckAt = now + watcherCheckInterval;
+        self.spread.watching = isWatcher(self, now);
+    }
     for (const auto key : wellKnownKeys) {
         if (isDirect(self, key))
             followDirect(self, state::value_key(key), self.spread.keys[state::value_key(key)], now, random, effects);
@@ -233,27 +249,22 @@
     state::value_source source, state::time_point now, random_generator& random)
 {
     auto& progress = self.spread.keys[key];
-    if (purpose == read_purpose::pull) {
-        progress.nextPullAt = now + backoff(progress.failures, random);
-        ++progress.failures;
-    }
-    if (source == state::value_source::platform && purpose != read_purpose::pull)
-        progress.nextReadAt = now + (self.spread.watching ? jitter(readPause, random) : jitter(safetyInterval, random));
+    if (purpose == read_purpose::pull)
+        noteMiss(progress, source, now, random);
+    else if (source == state::value_source::platform)
+        progress.nextReadAt = now + jitter(self.spread.watching ? readPause : safetyInterval, random);
 }
 
 void noteValueReadFailed(node& self, const value_read_failed& failed, state::time_point now, random_generator& random)
 {
-    const auto read = removeRead(self, failed.key, failed.source, failed.fromAddress, failed.askedAt);
+    (void)removeRead(self, failed.key, failed.source, failed.fromAddress, failed.askedAt);
     auto& progress = self.spread.keys[failed.key];
-    const auto pause = backoff(progress.failures, random);
-    if (failed.source == state::value_source::platform) {
-        progress.platformAsked = true;
-        progress.nextReadAt = now + pause;
-        ++self.spread.platformChoice;
-    }
-    if (!read || read->purpose == read_purpose::pull)
-        progress.nextPullAt = now + pause;
-    ++progress.failures;
+    noteMiss(progress, failed.source, now, random);
+    if (failed.source == state::value_source::peer)
+        return;
+    progress.platformAsked = true;
+    progress.nextReadAt = progress.platformAfter;
+    ++self.spread.platformChoice;
 }
 
 std::size_t readDirectKeys(node& self, read_purpose purpose, state::time_point now, effect_list& effects)
--- a/src/coordination/settings_spread.cpp
+++ b/src/coordination/settings_spread.cpp
@@ -119,8 +119,9 @@
     for (const auto& [key, value] : accepted.values) {
         self.values[key] = { value, std::nullopt, {} };
         auto& progress = self.spread.keys[key];
-        progress.failures = 0;
         progress.peersTried = 0;
+        progress.peerMisses = 0;
+        progress.platformMisses = 0;
     }
     self.spread.indexed = accepted.settings.indexed;
     for (const auto& [key, number] : self.spread.indexed) {
--- a/src/coordination/spread_state.hpp
+++ b/src/coordination/spread_state.hpp
@@ -47,8 +47,10 @@
     bool platformAsked = false; ///< the platform has answered or failed once
     state::time_point nextReadAt; ///< of the next watch or safety read
     state::time_point nextPullAt; ///< of the next read for a revision that is known and not held
+    state::time_point platformAfter; ///< before which such a read does not go to the platform
     std::uint32_t peersTried = 0; ///< since the platform was last tried
-    std::uint32_t failures = 0; ///< reads in a row that brought nothing
+    std::uint32_t peerMisses = 0; ///< reads in a row in which a peer had nothing newer
+    std::uint32_t platformMisses = 0; ///< likewise of the platform
 };
 
 /// Calls that a node may still make to the platform.
@@ -67,6 +69,7 @@
     std::optional<state::time_point> startedAt;
     bool seedsAsked = false;
     bool peersAsked = false; ///< at the start
+    state::time_point nextWatcherCheckAt;
     bool watching = false; ///< this node is one of its data centre's watchers, for the dump
 };
 
--- a/src/state/peer_table.hpp
+++ b/src/state/peer_table.hpp
@@ -27,7 +27,7 @@
 
 /// What a peer has been told, and when it is told next.
 struct peer_outbox {
-    time_point nextTellAt;
+    time_point nextTellAt; ///< of the next heartbeat, for a peer of our data centre
     time_point nextFullAt; ///< when it is next told revisions and recently listed hosts unasked
     std::vector<told_load> loads; ///< by server index
     std::size_t nextLoad = 0; ///< where the next message begins, so that every server gets its turn
@@ -43,6 +43,7 @@
     host_id id;
     std::string address; ///< "ip:port", UDP and TCP
     data_centre_id dataCentre;
+    bool near = false; ///< in our data centre
     bool listed = false; ///< in the platform's list
     time_point listedSince;
     time_point vouchedUntil; ///< for a host that only a listed peer has told of
