--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -1,8 +1,11 @@
 #include "coordination/membership.hpp"
 
+#include "coordination/conditions.hpp"
 #include "coordination/freshness.hpp"
+#include "coordination/load_estimate.hpp"
 #include "coordination/message_size.hpp"
 #include "coordination/node.hpp"
+#include "coordination/permits.hpp"
 #include "coordination/server_tracking.hpp"
 #include "coordination/settings_spread.hpp"
 
@@ -28,7 +31,7 @@
     if (!peer.hasLoads)
         return;
     for (auto& server : self.fleet.servers)
-        server.peerLoads.erase(peer.id);
+        forgetPeerLoad(server.load, peer.id);
     peer.hasLoads = false;
 }
 
@@ -121,6 +124,7 @@
     ++self.counters.peerMessagesTaken;
     noteHeard(self, *peer, message, now);
     notePeerLoads(self, message, now);
+    noteEcho(self, message, now);
     notePeerConditions(self, message, now, effects);
     notePeerRevisions(self, *peer, message, now);
     if (message.question != 0 && !isPictureSuspect(self, now))
--- a/src/coordination/node.hpp
+++ b/src/coordination/node.hpp
@@ -5,6 +5,8 @@
 #include "coordination/forward_declarations.hpp"
 #include "coordination/freshness.hpp"
 #include "coordination/peer_telling.hpp"
+#include "coordination/permits.hpp"
+#include "coordination/server_review.hpp"
 #include "coordination/server_tags.hpp"
 #include "coordination/spread_state.hpp"
 #include "state/fleet.hpp"
@@ -52,6 +54,7 @@
     std::map<state::attempt_outcome, std::uint64_t> attemptsByOutcome;
     std::uint64_t retries = 0;
     std::uint64_t hedges = 0;
+    std::uint64_t callersGone = 0; ///< callers that closed before their request ended
     std::uint64_t probes = 0;
     std::uint64_t platformReads = 0;
     std::uint64_t peerMessagesSent = 0;
@@ -87,6 +90,8 @@
     std::uint64_t nextSequence = 1;
     telling_state telling;
     spread_state spread;
+    permit_state permits;
+    review_state review;
     freshness_state freshness;
     node_counters counters;
 };
--- a/src/coordination/peer_budget.cpp
+++ b/src/coordination/peer_budget.cpp
@@ -12,6 +12,12 @@
 constexpr state::duration shortestNearPause = std::chrono::milliseconds { 20 };
 constexpr state::duration shortestFarRound = std::chrono::seconds { 1 };
 
+/// Bytes a second for heartbeats to far peers; the rest is for near ones.
+double farBytes(const peer_counts& counts) noexcept
+{
+    return std::clamp(farBytesForPeer * static_cast<double>(counts.all), leastFarBytesPerSecond, mostFarBytesPerSecond);
+}
+
 state::duration toDuration(double seconds) noexcept
 {
     return std::chrono::duration_cast<state::duration>(std::chrono::duration<double> { seconds });
@@ -43,7 +49,8 @@
 state::duration nearPause(std::size_t payload, const peer_counts& counts) noexcept
 {
     const auto bytes = static_cast<double>(payload + datagramHeaderBytes);
-    return std::max(shortestNearPause, toDuration(bytes * static_cast<double>(counts.near) / nearBytesPerSecond));
+    return std::max(shortestNearPause,
+        toDuration(bytes * static_cast<double>(counts.near) / (heartbeatBytesPerSecond - farBytes(counts))));
 }
 
 state::duration farPause(std::size_t payload, const peer_counts& counts) noexcept
@@ -55,7 +62,13 @@
 state::duration farRound(std::size_t payload, const peer_counts& counts) noexcept
 {
     const auto bytes = static_cast<double>(payload + datagramHeaderBytes);
-    return std::max(shortestFarRound, toDuration(bytes * static_cast<double>(counts.all) / farBytesPerSecond));
+    return std::max(shortestFarRound, toDuration(bytes * static_cast<double>(counts.all) / farBytes(counts)));
+}
+
+std::size_t farPayloadLimit(const peer_counts& counts) noexcept
+{
+    const auto share = farBytes(counts) / static_cast<double>(std::max<std::size_t>(1, counts.all));
+    return static_cast<std::size_t>(std::max(0.0, share - datagramHeaderBytes));
 }
 
 } // namespace acaciaslip::coordination
--- a/src/coordination/peer_budget.hpp
+++ b/src/coordination/peer_budget.hpp
@@ -20,12 +20,16 @@
 inline constexpr double sentRefillBytes = sentBytesPerSecond - sentBurstBytes - unevenBytesPerSecond;
 /// What heartbeats leave in the bucket for urgent messages, in bytes.
 inline constexpr double urgentReserveBytes = sentBurstBytes / 2;
-/// Bytes a second for heartbeats to all peers of our data centre together.
-inline constexpr double nearBytesPerSecond = 4200;
-/// Bytes a second for heartbeats to all peers together if all were elsewhere.
-inline constexpr double farBytesPerSecond = 1600;
+/// Bytes a second for all heartbeats of a node.
+inline constexpr double heartbeatBytesPerSecond = 5800;
+/// The least of them for all peers together if all were in other data centres.
+inline constexpr double leastFarBytesPerSecond = 2000;
+/// The most of them for those, however many peers there are.
+inline constexpr double mostFarBytesPerSecond = 3800;
+/// What each peer adds to them, up to the most: a short heartbeat a second.
+inline constexpr double farBytesForPeer = 100;
 
-static_assert(nearBytesPerSecond + farBytesPerSecond <= sentRefillBytes);
+static_assert(heartbeatBytesPerSecond <= sentRefillBytes);
 
 /// The bytes that a node may still send.
 struct byte_bucket {
@@ -68,4 +72,7 @@
 /// How long it takes until each far peer has had its turn.
 [[nodiscard]] state::duration farRound(std::size_t payload, const peer_counts& counts) noexcept;
 
+/// The longest payload with which each far peer has its turn once a second, in bytes.
+[[nodiscard]] std::size_t farPayloadLimit(const peer_counts& counts) noexcept;
+
 } // namespace acaciaslip::coordination
--- a/src/coordination/peer_telling.cpp
+++ b/src/coordination/peer_telling.cpp
@@ -1,5 +1,6 @@
 #include "coordination/peer_telling.hpp"
 
+#include "coordination/conditions.hpp"
 #include "coordination/membership.hpp"
 #include "coordination/message_size.hpp"
 #include "coordination/node.hpp"
@@ -11,18 +12,20 @@
 
 namespace {
 
-constexpr std::uint32_t conditionSends = 3;
+constexpr std::uint32_t conditionSends = 2;
 constexpr std::uint32_t revisionSends = 3;
-constexpr std::uint32_t zeroLoadRepeats = 2;
+constexpr std::uint32_t zeroLoadRepeats = 3;
 constexpr state::duration loadRepeatInterval = std::chrono::seconds { 1 };
-constexpr state::duration fullInterval = std::chrono::seconds { 2 };
+constexpr state::duration nearFullInterval = std::chrono::seconds { 2 };
+constexpr state::duration farFullInterval = std::chrono::seconds { 10 };
+constexpr state::duration farFullIntervalForPeer = std::chrono::milliseconds { 250 };
+constexpr std::size_t conditionsRepeated = 1; ///< in each heartbeat
+constexpr std::size_t conditionsRepeatedFull = 6; ///< in a full one
 /// How long a newly listed host is told of to peers whose list may not have it yet.
 constexpr state::duration introductionLasts = std::chrono::seconds { 60 };
 constexpr std::size_t introductionsPerMessage = 4;
 constexpr std::size_t peersAsked = 3;
-/// Loads of peers that can speak more seldom than this say nothing about now.
-constexpr state::duration oldestUsefulLoad = std::chrono::seconds { 4 };
-constexpr std::size_t typicalPayload = 100;
+constexpr std::size_t leastPayload = 48; ///< of a heartbeat that says nothing but that we live, in bytes
 /// The largest heartbeat, in bytes: one that a full bucket lets pass.
 constexpr auto maxHeartbeatBytes
     = static_cast<std::size_t>(sentBurstBytes - urgentReserveBytes) - datagramHeaderBytes - 16;
@@ -31,29 +34,53 @@
 struct draft {
     state::peer_message message;
     std::vector<state::server_index> loadServers; ///< of message.loads
+    std::size_t pendingConditions = 0; ///< of message.conditions; the rest is repeated
+    std::size_t nextCondition = 0;
     std::size_t nextLoad = 0;
     std::size_t nextIntroduction = 0;
     bool full = false;
 };
 
-draft beginDraft(const node& self)
+draft beginDraft(const node& self, const state::peer_record& peer)
 {
     draft made;
     made.message.from = self.settings.id;
     made.message.incarnation = self.incarnation;
     made.message.sequence = self.nextSequence;
     made.message.leaving = self.phase >= node_phase::lame_duck;
+    made.message.echoIncarnation = peer.incarnation;
+    made.message.echoSequence = peer.sequence;
     return made;
 }
 
+/// Adds a condition unless the message gets too long.
+bool addCondition(const state::condition_change& change, std::size_t payloadLimit, draft& made)
+{
+    made.message.conditions.push_back(change);
+    if (boundMessageSize(made.message) <= payloadLimit)
+        return true;
+    made.message.conditions.pop_back();
+    return false;
+}
+
 void addConditions(const state::peer_outbox& outbox, draft& made)
 {
     for (const auto& pending : outbox.conditions) {
-        made.message.conditions.push_back(pending.change);
-        if (boundMessageSize(made.message) > maxHeartbeatBytes) {
-            made.message.conditions.pop_back();
+        if (!addCondition(pending.change, maxHeartbeatBytes, made))
+            return;
+        ++made.pendingConditions;
+    }
+}
+
+/// Repeats some conditions, since a message may have been lost and a peer may have been replaced.
+void repeatConditions(
+    const node& self, const state::peer_outbox& outbox, std::size_t payloadLimit, state::time_point now, draft& made)
+{
+    made.nextCondition = outbox.nextCondition;
+    const auto most = made.full ? conditionsRepeatedFull : conditionsRepeated;
+    for (const auto& change : conditionsToRepeat(self, made.nextCondition, most, now)) {
+        if (!addCondition(change, payloadLimit, made))
             return;
-        }
     }
 }
 
@@ -66,7 +93,8 @@
     return (told.inFlight > 0 || told.repeatsLeft > 0) && now - told.at >= loadRepeatInterval;
 }
 
-void addLoads(const node& self, const state::peer_outbox& outbox, state::time_point now, draft& made)
+void addLoads(
+    const node& self, const state::peer_outbox& outbox, std::size_t payloadLimit, state::time_point now, draft& made)
 {
     const auto& tags = self.serverTags.byServer;
     const auto count = std::min(tags.size(), self.fleet.servers.size());
@@ -80,7 +108,7 @@
             continue;
         const state::load_delta load { tags[index], server.ownInFlight };
         bytes += boundLoadSize(load);
-        if (bytes > maxHeartbeatBytes || made.message.loads.size() == maxListEntries)
+        if (bytes > payloadLimit || made.message.loads.size() == maxListEntries)
             return;
         made.message.loads.push_back(load);
         made.loadServers.push_back(index);
@@ -104,25 +132,27 @@
 
 draft makeHeartbeat(const node& self, const state::peer_record& peer, const peer_counts& counts, state::time_point now)
 {
-    auto made = beginDraft(self);
+    auto made = beginDraft(self, peer);
     made.full = now >= peer.outbox.nextFullAt;
     addConditions(peer.outbox, made);
     if (made.full || peer.outbox.revisionSendsLeft > 0)
         made.message.revisions = listRevisions(self);
     if (made.full)
         addIntroductions(self, peer, now, made);
-    if (peer.near || farRound(typicalPayload, counts) <= oldestUsefulLoad)
-        addLoads(self, peer.outbox, now, made);
+    const auto limit = peer.near || made.full ? maxHeartbeatBytes : farPayloadLimit(counts);
+    repeatConditions(self, peer.outbox, limit, now, made);
+    addLoads(self, peer.outbox, limit, now, made);
     return made;
 }
 
 /// Urgent news alone, so that it fits.
 draft makeUrgent(const node& self, const state::peer_record& peer)
 {
-    auto made = beginDraft(self);
+    auto made = beginDraft(self, peer);
     if (peer.outbox.urgentRevisions)
         made.message.revisions = listRevisions(self);
     addConditions(peer.outbox, made);
+    made.nextCondition = peer.outbox.nextCondition;
     return made;
 }
 
@@ -147,7 +177,7 @@
 
 void markConditions(const draft& sent, state::peer_outbox& outbox)
 {
-    const auto count = sent.message.conditions.size();
+    const auto count = sent.pendingConditions;
     for (std::size_t index = 0; index < count; ++index)
         --outbox.conditions[index].sendsLeft;
     // Those that did not fit go first next time.
@@ -156,11 +186,13 @@
     std::erase_if(outbox.conditions, [](const auto& pending) { return pending.sendsLeft == 0; });
     outbox.urgentConditions = std::any_of(outbox.conditions.begin(), outbox.conditions.end(),
         [](const auto& pending) { return pending.sendsLeft == conditionSends; });
+    outbox.nextCondition = sent.nextCondition;
 }
 
 /// Keeps in mind what a peer has been told.
-void mark(const draft& sent, state::time_point now, state::peer_outbox& outbox)
+void mark(const draft& sent, std::size_t peers, state::time_point now, state::peer_record& peer)
 {
+    auto& outbox = peer.outbox;
     markLoads(sent, now, outbox);
     markConditions(sent, outbox);
     if (!sent.message.revisions.empty()) {
@@ -168,7 +200,9 @@
         outbox.urgentRevisions = false;
     }
     if (sent.full) {
-        outbox.nextFullAt = now + fullInterval;
+        outbox.nextFullAt = now
+            + (peer.near ? nearFullInterval
+                         : std::max(farFullInterval, farFullIntervalForPeer * static_cast<std::int64_t>(peers)));
         outbox.nextIntroduction = sent.nextIntroduction;
     }
 }
@@ -207,7 +241,7 @@
         const auto made = makeUrgent(self, peer);
         if (!send(self, peer.address, made.message, send_class::urgent, now, effects))
             return false;
-        mark(made, now, peer.outbox);
+        mark(made, self.peers.size(), now, peer);
         return true;
     });
 }
@@ -226,7 +260,7 @@
     const auto made = makeHeartbeat(self, peer, counts, now);
     if (!send(self, peer.address, made.message, send_class::heartbeat, now, effects))
         return std::nullopt;
-    mark(made, now, peer.outbox);
+    mark(made, self.peers.size(), now, peer);
     return boundMessageSize(made.message);
 }
 
@@ -265,7 +299,8 @@
     if (!bytes)
         return;
     self.telling.lastFar = peer->id;
-    self.telling.nextFarAt = now + farPause(*bytes, counts);
+    // A full message now and then takes its bytes from what heartbeats leave over, so that nobody's turn comes late.
+    self.telling.nextFarAt = now + farPause(std::min(*bytes, std::max(farPayloadLimit(counts), leastPayload)), counts);
 }
 
 /// Peers in the order in which they are asked: heard before silent, near before far, otherwise by chance.
@@ -325,7 +360,7 @@
 {
     std::size_t asked = 0;
     for (const auto* peer : orderToAsk(self, now, random)) {
-        auto made = beginDraft(self);
+        auto made = beginDraft(self, *peer);
         made.message.question = question;
         if (asked == peersAsked || !send(self, peer->address, made.message, send_class::urgent, now, effects))
             break;
@@ -337,7 +372,7 @@
 void answerPeer(
     node& self, const state::peer_record& peer, std::uint64_t question, state::time_point now, effect_list& effects)
 {
-    auto made = beginDraft(self);
+    auto made = beginDraft(self, peer);
     made.message.answerTo = question;
     made.message.revisions = listRevisions(self);
     (void)send(self, peer.address, std::move(made.message), send_class::urgent, now, effects);
--- a/src/coordination/settings_spread.cpp
+++ b/src/coordination/settings_spread.cpp
@@ -6,6 +6,7 @@
 #include "coordination/node.hpp"
 #include "coordination/peer_telling.hpp"
 #include "coordination/read_planning.hpp"
+#include "coordination/slot_permits.hpp"
 #include "coordination/value_keys.hpp"
 
 #include <algorithm>
@@ -129,6 +130,7 @@
         newest = std::max(newest, number);
     }
     applySettings(self, accepted.settings, now);
+    dealSlotPermits(self, accepted.settings);
     self.serverTags = makeServerTags(self.fleet);
     applyEntryHosts(self, accepted.settings, now);
     logInForce(accepted.values, effects);
@@ -180,6 +182,14 @@
     return isWellKnown(key) || !hasIndex || self.spread.indexed.contains(key);
 }
 
+void startServing(node& self, bool caughtUp, state::time_point now, effect_list& effects)
+{
+    self.phase = node_phase::serving;
+    self.phaseSince = now;
+    effects.emplace_back(
+        log_event { log_level::info, "phase", { { "phase", "serving" }, { "caught_up", caughtUp ? "yes" : "no" } } });
+}
+
 } // namespace
 
 void noteValue(
@@ -267,7 +277,12 @@
 
 void advanceStart(node& self, state::time_point now, effect_list& effects)
 {
-    if (self.phase != node_phase::starting || !self.spread.startedAt)
+    if (self.phase != node_phase::starting)
+        return;
+    const bool nobodyToAsk = self.settings.platform.empty() && self.settings.seedPeers.empty();
+    if (nobodyToAsk && !self.fleet.services.empty())
+        return startServing(self, true, now, effects);
+    if (!self.spread.startedAt)
         return;
     const auto& spread = self.spread;
     const bool asking = std::any_of(spread.reads.begin(), spread.reads.end(),
@@ -280,12 +295,8 @@
     const bool hasIndex = heldRevision(self, state::value_key(indexKey)) > 0;
     const bool isCaughtUp = hasIndex && !asking && !isAnyLacking(self);
     const bool hasWaited = now - *spread.startedAt >= startBound && !self.fleet.services.empty();
-    if (!isCaughtUp && !hasWaited)
-        return;
-    self.phase = node_phase::serving;
-    self.phaseSince = now;
-    effects.emplace_back(
-        log_event { log_level::info, "phase", { { "phase", "serving" }, { "caught_up", isCaughtUp ? "yes" : "no" } } });
+    if (isCaughtUp || hasWaited)
+        startServing(self, isCaughtUp, now, effects);
 }
 
 } // namespace acaciaslip::coordination
--- a/src/protocol/peer.thrift
+++ b/src/protocol/peer.thrift
@@ -9,6 +9,8 @@
   2: required i32 condition
   3: required i32 limit
   4: optional string boot
+  5: optional i64 epoch
+  6: optional i32 health
 }
 
 struct value_revision {
@@ -35,6 +37,8 @@
   9: optional list<condition_change> conditions
   10: optional list<value_revision> revisions
   11: optional list<introduced_host> introduced
+  12: optional i64 echoIncarnation
+  13: optional i64 echoSequence
 }
 
 /** Asks over TCP for a value newer than a revision. */
--- a/src/protocol/peer_codec.cpp
+++ b/src/protocol/peer_codec.cpp
@@ -44,6 +44,7 @@
 constexpr std::uint64_t maxSigned = std::numeric_limits<std::int64_t>::max();
 constexpr std::uint64_t maxShort = std::numeric_limits<std::int32_t>::max();
 constexpr std::uint64_t maxCondition = state::serverConditionNames.size() - 1;
+constexpr std::uint64_t maxHealth = state::toldHealthNames.size() - 1;
 
 absl::Status firstError(std::initializer_list<absl::Status> checks)
 {
@@ -59,6 +60,8 @@
     return firstError({ checkText("server id", change.server, coordination::maxNameBytes),
         checkNumber("limit", change.limit, maxShort),
         checkNumber("condition", static_cast<std::uint64_t>(change.condition), maxCondition),
+        checkNumber("health", static_cast<std::uint64_t>(change.health), maxHealth),
+        checkNumber("epoch", change.epoch, maxSigned),
         change.boot.size() > coordination::maxNameBytes
             ? tooLong("boot id", change.boot.size(), coordination::maxNameBytes)
             : absl::OkStatus() });
@@ -97,7 +100,9 @@
 {
     return firstError({ checkText("sender", message.from, coordination::maxNameBytes),
         checkNumber("incarnation", message.incarnation, maxSigned),
-        checkNumber("sequence", message.sequence, maxSigned), checkList("list of loads", message.loads),
+        checkNumber("sequence", message.sequence, maxSigned),
+        checkNumber("echoed incarnation", message.echoIncarnation, maxSigned),
+        checkNumber("echoed sequence", message.echoSequence, maxSigned), checkList("list of loads", message.loads),
         checkList("list of conditions", message.conditions), checkList("list of revisions", message.revisions),
         checkList("list of introduced hosts", message.introduced) });
 }
@@ -151,6 +156,10 @@
     wired.limit = static_cast<std::int32_t>(change.limit);
     if (!change.boot.empty())
         wired.__set_boot(change.boot);
+    if (change.epoch != 0)
+        wired.__set_epoch(static_cast<std::int64_t>(change.epoch));
+    if (change.health != state::told_health::unread)
+        wired.__set_health(static_cast<std::int32_t>(change.health));
     return wired;
 }
 
@@ -174,7 +183,8 @@
 state::condition_change fromWire(const wire::condition_change& wired)
 {
     return { wired.server, static_cast<state::server_condition>(wired.condition),
-        static_cast<std::uint32_t>(wired.limit), wired.boot };
+        static_cast<std::uint32_t>(wired.limit), wired.boot, static_cast<state::told_health>(wired.health),
+        static_cast<std::uint64_t>(wired.epoch) };
 }
 
 state::value_revision fromWire(const wire::value_revision& wired)
@@ -222,6 +232,10 @@
         wired.__set_question(static_cast<std::int64_t>(message.question));
     if (message.answerTo != 0)
         wired.__set_answerTo(static_cast<std::int64_t>(message.answerTo));
+    if (message.echoIncarnation != 0) {
+        wired.__set_echoIncarnation(static_cast<std::int64_t>(message.echoIncarnation));
+        wired.__set_echoSequence(static_cast<std::int64_t>(message.echoSequence));
+    }
     if (!message.loads.empty())
         setLoads(wired, message.loads);
     const auto one = [](const auto& entry) { return toWire(entry); };
@@ -243,6 +257,8 @@
     message.leaving = wired.leaving;
     message.question = static_cast<std::uint64_t>(wired.question);
     message.answerTo = static_cast<std::uint64_t>(wired.answerTo);
+    message.echoIncarnation = static_cast<std::uint64_t>(wired.echoIncarnation);
+    message.echoSequence = static_cast<std::uint64_t>(wired.echoSequence);
     for (std::size_t index = 0; index < wired.loadServers.size(); ++index)
         message.loads.push_back({ static_cast<state::server_tag>(wired.loadServers[index]),
             static_cast<std::uint32_t>(wired.loadCounts[index]) });
--- a/src/state/peer_table.hpp
+++ b/src/state/peer_table.hpp
@@ -31,6 +31,7 @@
     time_point nextFullAt; ///< when it is next told revisions and recently listed hosts unasked
     std::vector<told_load> loads; ///< by server index
     std::size_t nextLoad = 0; ///< where the next message begins, so that every server gets its turn
+    std::size_t nextCondition = 0; ///< likewise for conditions that are repeated
     std::size_t nextIntroduction = 0; ///< likewise for recently listed hosts
     std::vector<condition_to_tell> conditions;
     bool urgentConditions = false; ///< some condition was never told
