--- a/src/coordination/conditions.cpp
+++ b/src/coordination/conditions.cpp
@@ -158,12 +158,13 @@
     return { server.id, server.condition, server.limit, server.boot, describeHealth(server, now), server.epoch };
 }
 
-std::vector<state::condition_change> conditionsToRepeat(node& self, std::size_t most, state::time_point now)
+std::vector<state::condition_change> conditionsToRepeat(
+    const node& self, std::size_t& next, std::size_t most, state::time_point now)
 {
     std::vector<state::condition_change> repeated;
     const auto& servers = self.fleet.servers;
     for (std::size_t visited = 0; visited < servers.size() && repeated.size() < most; ++visited) {
-        const auto& server = servers[self.permits.nextRepeated++ % servers.size()];
+        const auto& server = servers[next++ % servers.size()];
         if (server.listing != state::host_listing::absent && isWorthTelling(server, now))
             repeated.push_back(describeCondition(server, now));
     }
--- a/src/coordination/permits.hpp
+++ b/src/coordination/permits.hpp
@@ -69,7 +69,6 @@
     std::uint64_t ownHash = 0;
     state::time_point leaseUntil; ///< the earliest end of all leases
     state::time_point usableFrom; ///< the lease held now may be used from here on
-    std::size_t nextRepeated = 0; ///< the server whose condition is repeated next
 };
 
 /// How many requests this node may have in flight on a cold server.
