--- a/src/coordination/waiting.cpp
+++ b/src/coordination/waiting.cpp
@@ -1,6 +1,7 @@
 #include "coordination/waiting.hpp"
 
 #include "coordination/deadlines.hpp"
+#include "coordination/freshness.hpp"
 #include "coordination/hedging.hpp"
 #include "coordination/node.hpp"
 #include "coordination/request_end.hpp"
@@ -77,7 +78,7 @@
         endWithRefusal(self, request, request.mayHaveRun ? state::refusal_reason::broken_answer : reason,
             findRetryAfter(self, request.service, random), effects);
     };
-    if (!hasCandidate(self, request.service))
+    if (!hasCandidate(self, request.service) && !isPictureSuspect(self, now))
         return refuse(state::refusal_reason::no_server);
     if (service.activity.waiting.size() >= service.settings.maxWaiting || cannotEndInTime(self, request, now))
         return refuse(state::refusal_reason::overloaded);
--- a/tests/coordination/waiting_test.cpp
+++ b/tests/coordination/waiting_test.cpp
@@ -120,6 +120,21 @@
     EXPECT_EQ(requestOf(sent.id), id);
 }
 
+TEST_F(waiting_test, Picture_SuspectAndWithoutServers_RequestWaitsForNewOne)
+{
+    serve(1);
+    m_published->dataCentresOut = { "dc-a" };
+    publish();
+    m_node.suspectSince = m_now;
+    arrive();
+    EXPECT_TRUE(take<refuse_caller>().empty());
+    m_published->dataCentresOut.clear();
+    publish();
+    warmUp();
+    pass(refreshBound + 10ms);
+    EXPECT_EQ(take<send_attempt>().size(), 1U);
+}
+
 TEST_F(waiting_test, WakeUp_RequestWaits_IsItsEarliestBound)
 {
     m_service.wait = 100ms;
