Stop listening at the planned stop although connections still come

Cause: with callers that connect anew without a pause the stop listened for its whole 10 s. Change: it listens for at most 3 s more, and ends as soon as no connection has come for 0.3 s.

--- a/src/transport/caller_edge.cpp
+++ b/src/transport/caller_edge.cpp
@@ -145,7 +145,7 @@
 /// Waits until no connection has come for a while, so that none is left in the listener's queue when it closes.
 void caller_edge::awaitQuiet() const
 {
-    const auto end = monotonicNow() + m_limits.stop;
+    const auto end = monotonicNow() + m_limits.listen;
     auto seen = m_taken.load();
     auto quietSince = monotonicNow();
     while (monotonicNow() - quietSince < m_limits.quiet && monotonicNow() < end) {
--- a/src/transport/edge_limits.hpp
+++ b/src/transport/edge_limits.hpp
@@ -16,6 +16,7 @@
     state::duration answer = std::chrono::seconds { 30 }; ///< from an answer's first byte to its last
     state::duration linger = std::chrono::seconds { 1 }; ///< for a caller to close after its last answer
     state::duration quiet = std::chrono::milliseconds { 300 }; ///< at the stop: with no new connection, ends listening
+    state::duration listen = std::chrono::seconds { 3 }; ///< at the stop: ends listening although connections come
     state::duration stop = std::chrono::seconds { 10 }; ///< the longest that the stop waits for callers
 };
 
--- a/tests/transport/attempt_sender_test.cpp
+++ b/tests/transport/attempt_sender_test.cpp
@@ -288,7 +288,7 @@
     raw_server stalled([&](raw_socket&) { (void)eventually([&] { return done.load(); }); });
     serve([](const std::string&) { return ""; });
     startSender();
-    m_body.assign(64U * 1024U * 1024U, 'x');
+    m_body.assign(64UL * 1024 * 1024, 'x');
     m_timeout = 300ms;
     auto attempt = makeAttempt(1);
     attempt.address = stalled.address();
