End a failed start cleanly

Cause: a start that failed after the operators' port was bound destroyed a running thread and aborted (exit 134). Change: the operators' edge joins its thread and waits until it listens, so that an early stop isn't lost; the callers' edge starts last. The usage line of a subcommand's help had read freed text. Conclusion: parts that may fail start before those that are costly to end.

--- a/src/app/command_line.cpp
+++ b/src/app/command_line.cpp
@@ -133,7 +133,7 @@
     const auto given = options.take(context.get());
     if (given.help) {
         fmt::print("acaciaslip {} {}: {}\n\n", wanted.name, wanted.synopsis, wanted.summary);
-        poptSetOtherOptionHelp(context.get(), fmt::format("{} {}", wanted.name, wanted.synopsis).c_str());
+        poptSetOtherOptionHelp(context.get(), wanted.synopsis);
         poptPrintHelp(context.get(), stdout, 0);
         return exitDone;
     }
--- a/src/protocol/dump.cpp
+++ b/src/protocol/dump.cpp
@@ -32,6 +32,14 @@
     return record.load.runningSince.front();
 }
 
+/// Null for a server whose condition has not changed since it was first seen.
+json conditionAge(const node_snapshot& snapshot, const state::server_record& record)
+{
+    if (record.conditionSince == state::time_point {})
+        return nullptr;
+    return ageOf(snapshot, record.conditionSince);
+}
+
 /// Milliseconds left until a time; 0 when it is over.
 double leftUntil(const node_snapshot& snapshot, state::time_point then)
 {
@@ -62,7 +70,7 @@
         { "service", service.name.name }, { "listing", state::findName(state::hostListingNames, record.listing) },
         { "data_centre_out", record.dataCentreOut }, { "takes_new_work", server.candidate },
         { "condition", state::findName(state::serverConditionNames, record.condition) },
-        { "reason", record.conditionReason }, { "condition_age_ms", ageOf(snapshot, record.conditionSince) },
+        { "reason", record.conditionReason }, { "condition_age_ms", conditionAge(snapshot, record) },
         { "slots", service.slots }, { "limit", record.limit }, { "cold_allowance", server.allowance },
         { "good_answers", record.goodAnswers }, { "bad_answers", record.badAnswers },
         { "in_flight", record.ownInFlight }, { "peers_in_flight", peersInFlight }, { "peers", std::move(peers) },
--- a/src/transport/daemon.cpp
+++ b/src/transport/daemon.cpp
@@ -103,11 +103,11 @@
 
 absl::Status daemon::start()
 {
-    if (auto status = m_parts->callers.start(); !status.ok())
+    if (auto status = m_parts->peers.start(); !status.ok())
         return status;
     if (auto status = m_parts->operators.start(); !status.ok())
         return status;
-    if (auto status = m_parts->peers.start(); !status.ok())
+    if (auto status = m_parts->callers.start(); !status.ok())
         return status;
     m_parts->decisions.start();
     return absl::OkStatus();
--- a/src/transport/operators_edge.cpp
+++ b/src/transport/operators_edge.cpp
@@ -13,6 +13,7 @@
 
 namespace {
 
+constexpr std::chrono::milliseconds runningPoll { 1 };
 constexpr int statusUnavailable = 503;
 constexpr auto replaceInvalid = nlohmann::json::error_handler_t::replace; ///< of text that is not UTF-8
 
@@ -52,6 +53,11 @@
     });
 }
 
+operators_edge::~operators_edge()
+{
+    stop();
+}
+
 absl::Status operators_edge::start()
 {
     const auto parsed = parseAddress(m_settings.operators);
@@ -63,6 +69,8 @@
             m_settings.operators));
     m_listener = std::thread([this] { m_server.listen_after_bind(); });
     pthread_setname_np(m_listener.native_handle(), "operators");
+    while (!m_server.is_running())
+        std::this_thread::sleep_for(runningPoll); // a stop before that would be lost
     return absl::OkStatus();
 }
 
--- a/src/transport/operators_edge.hpp
+++ b/src/transport/operators_edge.hpp
@@ -15,6 +15,10 @@
 public:
     operators_edge(decision_thread& decisions, const state::node_settings& settings);
 
+    operators_edge(const operators_edge&) = delete;
+    operators_edge& operator=(const operators_edge&) = delete;
+    ~operators_edge();
+
     /// Binds the port and starts to take connections.
     [[nodiscard]] absl::Status start();
 
