--- a/src/coordination/conditions.hpp
+++ b/src/coordination/conditions.hpp
@@ -35,8 +35,9 @@
 
 /// The next conditions to repeat to peers, so that a lost message or a restarted peer costs only time.
 /// \details Cold servers that have begun to grow and warm ones alike; walks all servers in turn over many calls.
+/// \param next the server to go on with; moved on
 /// \param most how many conditions fit
 [[nodiscard]] std::vector<state::condition_change> conditionsToRepeat(
-    node& self, std::size_t most, state::time_point now);
+    const node& self, std::size_t& next, std::size_t most, state::time_point now);
 
 } // namespace acaciaslip::coordination
--- a/src/coordination/load_estimate.cpp
+++ b/src/coordination/load_estimate.cpp
@@ -11,6 +11,8 @@
 
 constexpr int latencyWeight = 8; ///< the newest answer counts one in this many
 constexpr double peerWeight = 16; ///< the newest count of a peer counts one in this many
+constexpr state::duration peerInterval
+    = std::chrono::milliseconds { 50 }; ///< a count that is not told again has held for so many messages' time
 constexpr state::duration latencyMemory
     = std::chrono::seconds { 1 }; ///< an idle server's latency is forgotten over this
 
@@ -42,7 +44,13 @@
     const auto [position, added] = load.peers.try_emplace(peer);
     auto& known = position->second;
     const double before = known.average;
-    known.average = added ? inFlight : before + (inFlight - before) / peerWeight;
+    if (added)
+        known.average = inFlight;
+    else {
+        const double missed = std::max(0.0, std::chrono::duration<double>(now - known.heardAt) / peerInterval - 1);
+        const double held = known.inFlight + (before - known.inFlight) * std::pow(1 - 1 / peerWeight, missed);
+        known.average = held + (inFlight - held) / peerWeight;
+    }
     known.inFlight = inFlight;
     known.heardAt = now;
     load.othersAverage = std::max(0.0, load.othersAverage + known.average - before);
--- a/src/coordination/message_size.cpp
+++ b/src/coordination/message_size.cpp
@@ -77,7 +77,7 @@
     std::size_t bytes = versionBytes + stringFieldSize(message.from);
     for (const auto number : { message.incarnation, message.sequence, message.question, message.answerTo,
              message.echoIncarnation, message.echoSequence })
-        bytes += fieldHeaderBytes + signedSize(number);
+        bytes += number == 0 ? 0 : fieldHeaderBytes + signedSize(number);
     bytes += message.leaving ? fieldHeaderBytes : 0;
     bytes += message.loads.empty() ? 0 : listHeaderBytes;
     bytes += listSize(message.loads, boundLoadSize);
--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -2,6 +2,8 @@
 
 #include "coordination/freshness.hpp"
 #include "coordination/membership.hpp"
+#include "coordination/peer_telling.hpp"
+#include "coordination/read_planning.hpp"
 #include "coordination/reports.hpp"
 #include "coordination/request_handling.hpp"
 #include "coordination/server_review.hpp"
@@ -26,7 +28,7 @@
     void operator()(const probe_finished& finished) const { noteProbeFinished(self, finished, now, effects); }
     void operator()(const peer_message_received& received) const { notePeerMessage(self, received, now, effects); }
     void operator()(const datagram_refused& refused) const { noteDatagramRefused(self, refused); }
-    void operator()(const value_received& received) const { noteValue(self, received, now, effects); }
+    void operator()(const value_received& received) const { noteValue(self, received, now, random, effects); }
     void operator()(const value_read_failed& failed) const { noteValueReadFailed(self, failed, now, random); }
     void operator()(const value_requested& requested) const { serveValue(self, requested, effects); }
     void operator()(const drain_requested&) const { beginStop(self, now, effects); }
@@ -35,7 +37,8 @@
         serveAllWaiting(self, now, random, effects);
         planReads(self, now, random, effects);
         reviewServers(self, now, random, effects);
-        tellPeers(self, now, random, effects);
+        forgetSilentPeers(self, now);
+        tellPeers(self, now, effects);
         advanceStop(self, now, effects);
     }
 };
