Show control bytes and reads from peers in metrics and dump

Cause: the bytes that nodes spend on one another were counted and not shown. Conclusion: the budget of control traffic can be watched.

--- a/src/protocol/dump.cpp
+++ b/src/protocol/dump.cpp
@@ -138,7 +138,13 @@
         { "retries", counters.retries }, { "hedges", counters.hedges }, { "callers_gone", counters.callersGone },
         { "probes", counters.probes }, { "platform_reads", counters.platformReads },
         { "peer_messages_sent", counters.peerMessagesSent }, { "peer_messages_taken", counters.peerMessagesTaken },
-        { "peer_messages_dropped", counters.peerMessagesDropped }, { "pauses", counters.pauses } };
+        { "peer_messages_dropped", counters.peerMessagesDropped },
+        { "peer_messages_unknown", counters.peerMessagesUnknown },
+        { "peer_messages_replayed", counters.peerMessagesReplayed }, { "datagrams_refused", counters.datagramsRefused },
+        { "control_bytes_sent", counters.controlBytesSent },
+        { "control_bytes_received", counters.controlBytesReceived },
+        { "value_bytes_received", counters.valueBytesReceived }, { "value_bytes_served", counters.valueBytesServed },
+        { "peer_reads", counters.peerReads }, { "pauses", counters.pauses } };
 }
 
 } // namespace
--- a/src/transport/metrics.cpp
+++ b/src/transport/metrics.cpp
@@ -88,6 +88,16 @@
         makeCounter("acaciaslip_peer_messages_taken_total", "Datagrams of peers taken", counters.peerMessagesTaken));
     families.push_back(makeCounter(
         "acaciaslip_peer_messages_dropped_total", "Datagrams of peers dropped", counters.peerMessagesDropped));
+    families.push_back(makeCounter(
+        "acaciaslip_control_sent_bytes_total", "Datagrams to peers, headers included", counters.controlBytesSent));
+    families.push_back(makeCounter("acaciaslip_control_received_bytes_total", "Datagrams of peers, headers included",
+        counters.controlBytesReceived));
+    families.push_back(makeCounter("acaciaslip_value_received_bytes_total",
+        "Texts of published values read from peers and the platform", counters.valueBytesReceived));
+    families.push_back(makeCounter(
+        "acaciaslip_value_served_bytes_total", "Texts of published values given to peers", counters.valueBytesServed));
+    families.push_back(
+        makeCounter("acaciaslip_peer_reads_total", "Reads of published values from peers", counters.peerReads));
     families.push_back(makeCounter("acaciaslip_pauses_total", "Pauses that made the picture suspect", counters.pauses));
 }
 
