--- a/src/protocol/dump.cpp
+++ b/src/protocol/dump.cpp
@@ -32,6 +32,14 @@
     return record.load.runningSince.front();
 }
 
+/// Null for a server whose condition has not changed since it was first seen.
+json conditionAge(const node_snapshot& snapshot, const state::server_record& record)
+{
+    if (record.conditionSince == state::time_point {})
+        return nullptr;
+    return ageOf(snapshot, record.conditionSince);
+}
+
 /// Milliseconds left until a time; 0 when it is over.
 double leftUntil(const node_snapshot& snapshot, state::time_point then)
 {
@@ -62,7 +70,7 @@
         { "service", service.name.name }, { "listing", state::findName(state::hostListingNames, record.listing) },
         { "data_centre_out", record.dataCentreOut }, { "takes_new_work", server.candidate },
         { "condition", state::findName(state::serverConditionNames, record.condition) },
-        { "reason", record.conditionReason }, { "condition_age_ms", ageOf(snapshot, record.conditionSince) },
+        { "reason", record.conditionReason }, { "condition_age_ms", conditionAge(snapshot, record) },
         { "slots", service.slots }, { "limit", record.limit }, { "cold_allowance", server.allowance },
         { "good_answers", record.goodAnswers }, { "bad_answers", record.badAnswers },
         { "in_flight", record.ownInFlight }, { "peers_in_flight", peersInFlight }, { "peers", std::move(peers) },
@@ -130,7 +138,13 @@
         { "retries", counters.retries }, { "hedges", counters.hedges }, { "callers_gone", counters.callersGone },
         { "probes", counters.probes }, { "platform_reads", counters.platformReads },
         { "peer_messages_sent", counters.peerMessagesSent }, { "peer_messages_taken", counters.peerMessagesTaken },
-        { "peer_messages_dropped", counters.peerMessagesDropped }, { "pauses", counters.pauses } };
+        { "peer_messages_dropped", counters.peerMessagesDropped },
+        { "peer_messages_unknown", counters.peerMessagesUnknown },
+        { "peer_messages_replayed", counters.peerMessagesReplayed }, { "datagrams_refused", counters.datagramsRefused },
+        { "control_bytes_sent", counters.controlBytesSent },
+        { "control_bytes_received", counters.controlBytesReceived },
+        { "value_bytes_received", counters.valueBytesReceived }, { "value_bytes_served", counters.valueBytesServed },
+        { "peer_reads", counters.peerReads }, { "pauses", counters.pauses } };
 }
 
 } // namespace
