Show that a late waker asks first, and what members may do

Cause: nothing showed the refresh after a pause, incarnations, vouching and the ageing of loads. Change: tests on virtual time.

--- /dev/null
+++ b/tests/coordination/freshness_test.cpp
@@ -0,0 +1,106 @@
+#include "coordination/freshness.hpp"
+
+#include "coordination/small_fleet.hpp"
+
+#include <gtest/gtest.h>
+
+namespace acaciaslip::coordination {
+namespace {
+
+class freshness_test : public testing::Test {
+protected:
+    void SetUp() override
+    {
+        m_plan.publish(m_fleet);
+        m_plan.startAll(m_fleet);
+        m_fleet.run(5s);
+        for (auto& server : m_fleet[m_id].fleet.servers)
+            server.condition = state::server_condition::warm;
+    }
+
+    void pauseThroughDataCentreChange()
+    {
+        m_fleet.pause(m_id);
+        m_fleet.publish(dataCentresKey, 2, "dc-0 dc-1");
+        m_fleet.run(5s);
+    }
+
+    /// Wakes the node with a caller's request as the first thing that it sees.
+    void wakeWithRequest()
+    {
+        request_arrived arrived;
+        arrived.id = state::request_id { 1 };
+        arrived.path = "/service-0";
+        arrived.timeout = 2s;
+        m_fleet.members.at(m_id).paused = false;
+        m_fleet.handle(m_id, arrived);
+        m_fleet.wake(m_id);
+    }
+
+    /// Attempts that went to a data centre that was out when the node woke.
+    std::size_t countSentOut()
+    {
+        std::size_t count = 0;
+        for (const auto& sent : m_fleet.members.at(m_id).sent) {
+            const auto& fleet = m_fleet[m_id].fleet;
+            const auto& server = fleet.servers[fleet.serverIndexes.at(std::get<send_attempt>(sent).server)];
+            count += server.dataCentre != "dc-2" ? 1 : 0;
+        }
+        return count;
+    }
+
+    small_fleet m_fleet;
+    fleet_plan m_plan;
+    std::string m_id = "entry-000";
+};
+
+TEST_F(freshness_test, NodeWakesLate_DataCentreOutMeanwhile_AsksBeforeItSends)
+{
+    pauseThroughDataCentreChange();
+    wakeWithRequest();
+    EXPECT_TRUE(isPictureSuspect(m_fleet[m_id], m_fleet.now));
+    EXPECT_TRUE(m_fleet.members.at(m_id).sent.empty());
+    m_fleet.run(1s);
+    EXPECT_EQ(m_fleet[m_id].values[state::value_key(dataCentresKey)].inForce.number, 2U);
+    EXPECT_FALSE(m_fleet[m_id].freshness.onOldPicture);
+    EXPECT_EQ(countSentOut(), 0U);
+    EXPECT_EQ(m_fleet[m_id].counters.pauses, 1U);
+}
+
+TEST_F(freshness_test, NodeWakesLate_PlatformDown_PeersAnswer)
+{
+    pauseThroughDataCentreChange();
+    m_fleet.platform.down = true;
+    wakeWithRequest();
+    m_fleet.run(250ms);
+    EXPECT_FALSE(isPictureSuspect(m_fleet[m_id], m_fleet.now));
+    EXPECT_FALSE(m_fleet[m_id].freshness.onOldPicture);
+    EXPECT_EQ(m_fleet[m_id].values[state::value_key(dataCentresKey)].inForce.number, 2U);
+    EXPECT_EQ(countSentOut(), 0U);
+}
+
+TEST_F(freshness_test, NodeWakesLate_NobodyAnswers_ActsOnOldPictureAfterBoundAndSaysSo)
+{
+    m_fleet.pause(m_id);
+    m_fleet.run(2s);
+    m_fleet.platform.down = true;
+    m_fleet.members.at(m_id).cut = true;
+    wakeWithRequest();
+    EXPECT_TRUE(isPictureSuspect(m_fleet[m_id], m_fleet.now));
+    m_fleet.run(refreshBound + 2 * tickInterval);
+    EXPECT_FALSE(isPictureSuspect(m_fleet[m_id], m_fleet.now));
+    EXPECT_TRUE(m_fleet[m_id].freshness.onOldPicture);
+    EXPECT_EQ(m_fleet[m_id].freshness.unanswered, 1U);
+}
+
+TEST_F(freshness_test, AnswersThatWaitedInABuffer_FromBeforeTheWake_EndNothing)
+{
+    pauseThroughDataCentreChange();
+    m_fleet.platform.down = true;
+    m_fleet.members.at(m_id).cut = true;
+    m_fleet.wake(m_id);
+    EXPECT_TRUE(isPictureSuspect(m_fleet[m_id], m_fleet.now));
+}
+
+} // namespace
+} // namespace acaciaslip::coordination
--- /dev/null
+++ b/tests/coordination/membership_test.cpp
@@ -0,0 +1,159 @@
+#include "coordination/membership.hpp"
+
+#include "coordination/small_fleet.hpp"
+
+#include <gtest/gtest.h>
+
+namespace acaciaslip::coordination {
+namespace {
+
+class membership_test : public testing::Test {
+protected:
+    void SetUp() override
+    {
+        m_plan = { 3, 1, 1, 4 };
+        m_plan.publish(m_fleet);
+        m_plan.startAll(m_fleet);
+        m_fleet.run(2s);
+        m_message.from = "entry-001";
+        m_message.incarnation = peer().incarnation;
+        m_message.sequence = peer().sequence + 1000;
+        m_message.loads = { { tagOf("server-0"), 3 } };
+    }
+
+    node& self() { return m_fleet["entry-000"]; }
+    state::peer_record& peer() { return self().peers.at("entry-001"); }
+
+    std::uint32_t loadOf(const std::string& id)
+    {
+        const auto& server = self().fleet.servers[self().fleet.serverIndexes.at("server-0")];
+        const auto found = server.load.peers.find(id);
+        return found == server.load.peers.end() ? 0 : found->second.inFlight;
+    }
+
+    void hear(const state::peer_message& message, const std::string& address)
+    {
+        m_fleet.handle("entry-000", peer_message_received { address, message });
+    }
+
+    void hear() { hear(m_message, "at-entry-001"); }
+
+    small_fleet m_fleet;
+    fleet_plan m_plan;
+    state::peer_message m_message;
+};
+
+TEST_F(membership_test, Message_OfListedPeer_CountsItsLoads)
+{
+    hear();
+    EXPECT_EQ(loadOf("entry-001"), 3U);
+}
+
+TEST_F(membership_test, Message_FromOtherAddressOrUnknownHost_ChangesNothing)
+{
+    const auto before = self().counters.peerMessagesUnknown;
+    hear(m_message, "at-entry-002");
+    m_message.from = "stranger";
+    hear(m_message, "at-entry-001");
+    EXPECT_EQ(loadOf("entry-001"), 0U);
+    EXPECT_EQ(self().counters.peerMessagesUnknown, before + 2);
+}
+
+TEST_F(membership_test, Message_ReplayedOrReordered_IsDroppedAndCounted)
+{
+    hear();
+    const auto old = m_message;
+    ++m_message.sequence;
+    m_message.loads = { { tagOf("server-0"), 1 } };
+    hear();
+    hear(old, "at-entry-001");
+    hear();
+    EXPECT_EQ(loadOf("entry-001"), 1U);
+    EXPECT_EQ(self().counters.peerMessagesReplayed, 2U);
+}
+
+TEST_F(membership_test, Incarnation_Higher_ClearsLoads_LowerIsDropped)
+{
+    hear();
+    auto replaced = m_message;
+    ++replaced.incarnation;
+    replaced.sequence = 1;
+    replaced.loads.clear();
+    hear(replaced, "at-entry-001");
+    EXPECT_EQ(loadOf("entry-001"), 0U);
+    ++m_message.sequence;
+    hear();
+    EXPECT_EQ(loadOf("entry-001"), 0U);
+}
+
+TEST_F(membership_test, Peer_GoesSilent_ItsLoadsAgeOut)
+{
+    hear();
+    m_fleet.pause("entry-001");
+    m_fleet.run(nearLoadExpiry - 500ms);
+    EXPECT_EQ(loadOf("entry-001"), 3U);
+    m_fleet.run(1s);
+    EXPECT_EQ(loadOf("entry-001"), 0U);
+}
+
+TEST_F(membership_test, Loads_WithDatagramsLost_HealWithinSeconds)
+{
+    random_generator lots(3);
+    m_fleet.loses = [&](const auto& /*from*/, const auto& /*to*/) { return lots(10) < 5; };
+    auto& other = m_fleet["entry-001"];
+    auto& server = other.fleet.servers[other.fleet.serverIndexes.at("server-0")];
+    server.ownInFlight = 2;
+    m_fleet.run(4s);
+    EXPECT_EQ(loadOf("entry-001"), 2U);
+    server.ownInFlight = 0;
+    m_fleet.run(4s);
+    EXPECT_EQ(loadOf("entry-001"), 0U);
+}
+
+TEST_F(membership_test, Host_ListedPeerVouches_IsTakenUntilNobodyTellsOfIt)
+{
+    m_message.introduced = { { "entry-new", "at-entry-new", "dc-0" } };
+    hear();
+    auto message = m_message;
+    message.from = "entry-new";
+    message.incarnation = 1;
+    message.introduced = { { "entry-other", "at-entry-other", "dc-0" } };
+    hear(message, "at-entry-new");
+    EXPECT_EQ(loadOf("entry-new"), 3U);
+    EXPECT_FALSE(self().peers.contains("entry-other"));
+    EXPECT_EQ(self().fleet.entryHosts.size(), 3U);
+    m_fleet.run(vouchingLasts + 1s);
+    EXPECT_FALSE(self().peers.contains("entry-new"));
+    EXPECT_EQ(loadOf("entry-new"), 0U);
+}
+
+TEST_F(membership_test, Vouching_ForManyHosts_IsBounded)
+{
+    for (int host = 0; host < 100; ++host) {
+        ++m_message.sequence;
+        m_message.introduced = { { "new-" + std::to_string(host), "at-new", "dc-0" } };
+        hear();
+    }
+    EXPECT_EQ(self().peers.size(), 2 + maxVouched);
+}
+
+TEST_F(membership_test, Tags_OfTwoServersCollide_NameNeither)
+{
+    auto tags = makeServerTags(self().fleet);
+    EXPECT_TRUE(findServer(tags, tagOf("server-0")).has_value());
+    state::fleet doubled = self().fleet;
+    doubled.servers.push_back(doubled.servers.front());
+    tags = makeServerTags(doubled);
+    EXPECT_FALSE(findServer(tags, tagOf(doubled.servers.front().id)).has_value());
+}
+
+TEST_F(membership_test, ConditionChange_ToldOnce_ReachesPeersAtOnce)
+{
+    effect_list effects;
+    tellConditionChange(self(), { "server-0", state::server_condition::ejected, 1, "", state::told_health::unread, 0 },
+        m_fleet.now, effects);
+    EXPECT_EQ(effects.size(), 2U);
+}
+
+} // namespace
+} // namespace acaciaslip::coordination
