Keep every well-known value in the table from the start

Cause: readers of the table look values up before they are read. Change: empty records from the first tick on, as before. Conclusion: property_test.Nodes_FaultsTogetherAndTwice_KeepEveryPromise no longer throws but is red here; not yet mended.

--- a/src/coordination/read_planning.cpp
+++ b/src/coordination/read_planning.cpp
@@ -172,8 +172,11 @@
 /// Asks seeds, and peers as soon as a list names them, for the newest known.
 void planStart(node& self, state::time_point now, random_generator& random, effect_list& effects)
 {
-    if (!self.spread.startedAt)
+    if (!self.spread.startedAt) {
         self.spread.startedAt = now;
+        for (const auto key : wellKnownKeys)
+            self.values.try_emplace(state::value_key(key));
+    }
     if (self.phase != node_phase::starting)
         return;
     if (!self.spread.seedsAsked) {
