Read the platform when there is no peer to ask, and soon after it returns

Change: with nobody to ask the platform is next; the longest backoff is 2 s before jitter; the fleet's share of calls bounds reads as before.

--- a/src/coordination/read_planning.cpp
+++ b/src/coordination/read_planning.cpp
@@ -16,7 +16,8 @@
 
 constexpr state::duration readPause = std::chrono::milliseconds { 100 }; ///< between two watches of one value
 constexpr state::duration shortestBackoff = std::chrono::milliseconds { 100 };
-constexpr state::duration longestBackoff = std::chrono::seconds { 8 };
+constexpr state::duration longestBackoff
+    = std::chrono::seconds { 2 }; ///< a change must be in force within 5 s of the platform's return
 constexpr std::uint32_t mostDoublings = 7;
 constexpr std::uint32_t missesPerDoubling = 6; ///< of peers: they cost little, and another may have the value soon
 constexpr state::duration answerMargin = std::chrono::seconds { 10 }; ///< after which a read is taken for lost
@@ -141,11 +142,13 @@
         return;
     }
     const auto peer = pickPeer(self, key, progress.peersTried == 0, now, random);
-    if (peer) {
-        ++progress.peersTried;
-        readPeer(self, key, *peer, read_purpose::pull, now, effects);
-    } else
+    if (!peer) {
+        progress.peersTried = peersBeforePlatform; // nobody to ask: the platform is next
         progress.nextPullAt = now + jitter(shortestBackoff, random);
+        return;
+    }
+    ++progress.peersTried;
+    readPeer(self, key, *peer, read_purpose::pull, now, effects);
 }
 
 /// Watches a value, or reads it now and then; the first read comes back at once.
