Keep back more bytes for uneven seconds

Cause: when 256 nodes start at once a node received up to 17,475 bytes in the first second, over its 17,408. Change: twice as many bytes a second are kept back from sending. Conclusion: kept; what a node receives is bounded by symmetry, not strictly.

--- a/src/coordination/peer_budget.hpp
+++ b/src/coordination/peer_budget.hpp
@@ -15,7 +15,7 @@
 /// The most that may be sent at once, in bytes; burst and refill together stay within one second's bytes.
 inline constexpr double sentBurstBytes = 1500;
 /// Bytes a second kept back, since what a node receives is not spread evenly within a second.
-inline constexpr double unevenBytesPerSecond = 600;
+inline constexpr double unevenBytesPerSecond = 1200;
 /// Bytes a second that the bucket refills with.
 inline constexpr double sentRefillBytes = sentBytesPerSecond - sentBurstBytes - unevenBytesPerSecond;
 /// What heartbeats leave in the bucket for urgent messages, in bytes.
