Read what is lacking before watching for more

Ruled out: backoff (due long ago) and the peers (none known). Change: pulls of lacking values go before watches.

--- a/src/coordination/read_planning.cpp
+++ b/src/coordination/read_planning.cpp
@@ -232,14 +232,15 @@
         self.spread.nextWatcherCheckAt = now + watcherCheckInterval;
         self.spread.watching = isWatcher(self, now);
     }
-    for (const auto key : wellKnownKeys) {
-        if (isDirect(self, key))
-            followDirect(self, state::value_key(key), self.spread.keys[state::value_key(key)], now, random, effects);
-    }
+    // What is known to be lacking goes first, or watches that come back at once would take every call of the share.
     for (auto& [key, progress] : self.spread.keys) {
         if (isLacking(self, key))
             pullLacking(self, key, progress, now, random, effects);
     }
+    for (const auto key : wellKnownKeys) {
+        if (isDirect(self, key))
+            followDirect(self, state::value_key(key), self.spread.keys[state::value_key(key)], now, random, effects);
+    }
     advanceStart(self, now, effects);
 }
 
