--- a/benchmarks/data_centre_comparison.cpp
+++ b/benchmarks/data_centre_comparison.cpp
@@ -5,6 +5,7 @@
 /// request at a time, and more make it fall over for a second. Usage: data_centre_comparison [--csv]
 
 #include "coordination/node.hpp"
+#include "quantile.hpp"
 
 #include <algorithm>
 #include <array>
@@ -313,16 +314,6 @@
     std::map<std::int64_t, second_of_service> m_seconds;
 };
 
-double highQuantile(std::vector<double> values)
-{
-    constexpr double share = 0.99;
-    if (values.empty())
-        return 0;
-    const auto position = static_cast<std::ptrdiff_t>(share * static_cast<double>(values.size() - 1));
-    std::nth_element(values.begin(), values.begin() + position, values.end());
-    return values[static_cast<std::size_t>(position)];
-}
-
 std::string_view happening(std::int64_t second)
 {
     if (second == outAt.count() || second == outAgainAt.count())
@@ -332,25 +323,24 @@
     return "";
 }
 
-void print(std::string_view name, const std::map<std::int64_t, second_of_service>& measured, bool csv)
+void print(std::string_view name, std::map<std::int64_t, second_of_service> measured, bool csv)
 {
-    for (const auto& [number, service] : measured) {
+    for (auto& [number, service] : measured) {
         if (number < measuredFrom.count())
             continue;
         const auto all = service.answered + service.refused + service.mayHaveRun;
         const double success = all == 0 ? 1 : static_cast<double>(service.answered) / static_cast<double>(all);
+        const double p99 = quantile(service.milliseconds, 0.99);
         const auto format = csv ? "{},{},{},{:.4f},{:.2f},{},{},{},{}\n"
                                 : "{:<10} second {:>2} {:<4}  success {:.4f}  p99 {:8.2f} ms  refused {:>5}  may have "
                                   "run {:>3}  servers fell {:>3}  "
                                   "answers from {} {:>5}\n";
         if (csv)
-            fmt::print(fmt::runtime(format), name, number, happening(number), success,
-                highQuantile(service.milliseconds), service.refused, service.mayHaveRun, service.falls,
-                service.toReturned);
+            fmt::print(fmt::runtime(format), name, number, happening(number), success, p99, service.refused,
+                service.mayHaveRun, service.falls, service.toReturned);
         else
-            fmt::print(fmt::runtime(format), name, number, happening(number), success,
-                highQuantile(service.milliseconds), service.refused, service.mayHaveRun, service.falls, movedDataCentre,
-                service.toReturned);
+            fmt::print(fmt::runtime(format), name, number, happening(number), success, p99, service.refused,
+                service.mayHaveRun, service.falls, movedDataCentre, service.toReturned);
     }
 }
 
--- a/benchmarks/picking_comparison.cpp
+++ b/benchmarks/picking_comparison.cpp
@@ -8,6 +8,7 @@
 #include "coordination/picking.hpp"
 #include "coordination/server_tracking.hpp"
 #include "coordination/slot_permits.hpp"
+#include "quantile.hpp"
 
 #include <algorithm>
 #include <array>
@@ -449,15 +450,6 @@
     };
 }
 
-double quantile(std::vector<double>& values, double share)
-{
-    if (values.empty())
-        return 0;
-    const auto position = static_cast<std::ptrdiff_t>(share * static_cast<double>(values.size() - 1));
-    std::nth_element(values.begin(), values.begin() + position, values.end());
-    return values[static_cast<std::size_t>(position)];
-}
-
 void print(const experiment& tried, const way& chosen, outcome& measured, double best99, bool csv)
 {
     const double p50 = quantile(measured.milliseconds, 0.5);
