Ask the cheap question first when picking

Cause: a read of the whole change: every pick ranked a cold server's permits before it asked whether the request had tried that server, and putting settings in force looked up the list of data centres out for each host and kept a map as a set. Change: the order of the two questions, one reference, a set. Behaviour is the same.

--- a/src/coordination/fleet_update.cpp
+++ b/src/coordination/fleet_update.cpp
@@ -7,6 +7,8 @@
 
 #include <algorithm>
 
+#include <absl/container/flat_hash_set.h>
+
 namespace acaciaslip::coordination {
 
 namespace {
@@ -78,17 +80,17 @@
 {
     auto& fleet = self.fleet;
     applyServices(fleet, settings.services);
-    absl::flat_hash_map<state::host_id, bool> listed;
+    absl::flat_hash_set<state::host_id> listed;
     fleet.entryHosts.clear();
+    const auto& outList = settings.dataCentresOut;
     for (const auto& host : settings.hosts) {
         if (host.kind == state::host_kind::entry) {
             fleet.entryHosts.push_back(host.id);
             continue;
         }
-        const auto& outList = settings.dataCentresOut;
         const bool out = std::find(outList.begin(), outList.end(), host.dataCentre) != outList.end();
         applyServer(fleet, host, out, now);
-        listed[host.id] = true;
+        listed.insert(host.id);
     }
     std::sort(fleet.entryHosts.begin(), fleet.entryHosts.end());
     for (auto& server : fleet.servers) {
--- a/src/coordination/picking.cpp
+++ b/src/coordination/picking.cpp
@@ -39,8 +39,8 @@
 bool mayTake(const node& self, const state::request& request, state::server_index index, state::time_point now)
 {
     const auto& server = self.fleet.servers[index];
-    return isCandidate(server) && hasRoom(self, server, now)
-        && std::find(request.tried.begin(), request.tried.end(), index) == request.tried.end();
+    const bool tried = std::find(request.tried.begin(), request.tried.end(), index) != request.tried.end();
+    return !tried && isCandidate(server) && hasRoom(self, server, now);
 }
 
 /// The mean latency of a service's servers that have answered.
