--- a/src/app/command_line.cpp
+++ b/src/app/command_line.cpp
@@ -4,6 +4,7 @@
 #include "app/node_commands.hpp"
 #include "app/serve.hpp"
 #include "app/settings_commands.hpp"
+#include "platform/gateway.hpp"
 
 #include <array>
 #include <cstdio>
@@ -43,9 +44,12 @@
 
 constexpr std::size_t anyNumber = std::numeric_limits<std::size_t>::max();
 
-constexpr std::array<command, 6> commands { {
+constexpr std::array<command, 7> commands { {
     { "serve", "--settings FILE", "run this host's node until SIGTERM or a drain", 0, 0, true, false,
         [](const arguments& given) { return serve(given.settingsFile); } },
+    { "gateway", "",
+        "run this host's gateway on the platform until SIGTERM; its settings are where the platform puts them", 0, 0,
+        false, false, [](const arguments& /*given*/) { return platform::runGateway(); } },
     { "check", "FILE…", "check node.yaml files, the platform's values, or folders of them", 1, anyNumber, false, false,
         [](const arguments& given) { return checkFiles(given.operands); } },
     { "render", "FILE…", "print the services that the teams' templates expand to", 1, anyNumber, false, false,
--- /dev/null
+++ b/src/coordination/gateway/ask_choice.cpp
@@ -0,0 +1,98 @@
+#include "coordination/gateway/ask_choice.hpp"
+
+#include "coordination/gateway/server_health.hpp"
+
+#include <algorithm>
+#include <limits>
+
+namespace acaciaslip::coordination::gateway {
+
+namespace {
+
+/// A report this old says nothing about the machine's speed any more.
+constexpr state::duration reportLife = std::chrono::milliseconds { 150 };
+constexpr double slowReport = 2; ///< slowdown from which a server is asked later
+constexpr double slowServer = 2; ///< observed slowness, likewise
+constexpr double failingServer = 0.25; ///< share of failed requests, likewise
+
+/// Ranks add up; a server with a lower sum is asked earlier. Chance adds less than 1.
+constexpr double rankOtherDataCentre = 1;
+constexpr double rankSlowReport = 2;
+constexpr double rankSlowServer = 2;
+constexpr double rankFailing = 3;
+constexpr double rankCold = 20;
+constexpr double rankAvoided = 50;
+
+bool contains(const std::vector<state::host_id>& list, const state::host_id& id) noexcept
+{
+    return std::find(list.begin(), list.end(), id) != list.end();
+}
+
+bool isFull(const state::gateway::load_report& report) noexcept
+{
+    return report.slots > 0 && report.running >= report.slots;
+}
+
+double rankOf(const node& self, const state::gateway::server_state& server, state::time_point now)
+{
+    double rank = server.entry.dataCentre == self.settings.dataCentre ? 0 : rankOtherDataCentre;
+    const bool isFresh = server.report && now - server.report->heardAt < reportLife;
+    if (isFresh && (server.report->slowdown >= slowReport || isFull(*server.report)))
+        rank += rankSlowReport;
+    if (currentSlowness(server, now) >= slowServer)
+        rank += rankSlowServer;
+    if (currentFailureShare(server, now) >= failingServer)
+        rank += rankFailing;
+    if (now < server.coldUntil)
+        rank += rankCold;
+    if (isAvoided(server, now))
+        rank += rankAvoided;
+    return rank;
+}
+
+} // namespace
+
+bool isUsable(const state::gateway::server_state& server, state::time_point now) noexcept
+{
+    return !server.entry.draining && !server.evacuated && (!server.goneAt || now < *server.goneAt);
+}
+
+bool mayTakeWhileCold(const node& self, const state::gateway::server_state& server, state::time_point now) noexcept
+{
+    if (now >= server.coldUntil)
+        return true;
+    const auto* service = self.config ? state::gateway::findService(*self.config, server.entry.service) : nullptr;
+    const double perSecond = service != nullptr ? service->coldRequestsPerSecond : 0;
+    return isColdTurn(server.coldUntil, perSecond, self.share, server.lastColdSendAt, now);
+}
+
+std::vector<state::host_id> chooseServersToAsk(const node& self, const state::gateway::pending_request& request,
+    std::size_t most, state::time_point now, random_generator& random)
+{
+    struct candidate {
+        double rank;
+        const state::host_id* id;
+    };
+    std::vector<candidate> candidates;
+    const auto service = self.services.find(request.service);
+    if (service == self.services.end())
+        return {};
+    for (const auto& id : service->second.members) {
+        const auto& server = self.servers.at(id);
+        const bool asked = request.round && contains(request.round->asked, id);
+        if (asked || contains(request.tried, id) || !isUsable(server, now) || !mayTakeWhileCold(self, server, now))
+            continue;
+        const double chance = random() / (std::numeric_limits<std::uint32_t>::max() + 1.0);
+        candidates.push_back({ rankOf(self, server, now) + chance, &id });
+    }
+    const auto count = std::min(most, candidates.size());
+    std::partial_sort(candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(count), candidates.end(),
+        [](const candidate& left, const candidate& right) { return left.rank < right.rank; });
+    std::vector<state::host_id> chosen;
+    chosen.reserve(count);
+    for (std::size_t index = 0; index < count; ++index)
+        chosen.push_back(*candidates[index].id);
+    return chosen;
+}
+
+} // namespace acaciaslip::coordination::gateway
--- /dev/null
+++ b/src/coordination/gateway/cold_admission.cpp
@@ -0,0 +1,33 @@
+#include "coordination/gateway/cold_admission.hpp"
+
+#include <algorithm>
+
+namespace acaciaslip::coordination::gateway {
+
+namespace {
+
+/// How long a turn may be used. The hosts whose turns overlap can send at most twice the server's rate in a second.
+constexpr state::duration turnLasts = std::chrono::milliseconds { 900 };
+constexpr double slowestRate = 0.01; ///< requests a second; keeps intervals finite
+
+} // namespace
+
+bool isColdTurn(state::time_point coldUntil, double perSecond, host_share share,
+    std::optional<state::time_point> lastUsed, state::time_point now) noexcept
+{
+    if (now >= coldUntil)
+        return true;
+    const double hosts = std::max<std::uint32_t>(share.hosts, 1);
+    const auto step = std::chrono::duration_cast<state::duration>(
+        std::chrono::duration<double> { 1 / std::max(perSecond, slowestRate) });
+    const auto interval = std::chrono::duration_cast<state::duration>(step * hosts);
+    // Turns begin at coldUntil - rank * step - n * interval; this is how long ago the current one began.
+    const auto untilTurn = (coldUntil - now - step * share.rank) % interval;
+    const auto positive = untilTurn < state::duration::zero() ? untilTurn + interval : untilTurn;
+    const auto begun = positive == state::duration::zero() ? positive : interval - positive;
+    if (begun >= std::min(turnLasts, interval))
+        return false;
+    return !lastUsed || *lastUsed < now - begun;
+}
+
+} // namespace acaciaslip::coordination::gateway
--- /dev/null
+++ b/src/coordination/gateway/completion_estimate.cpp
@@ -0,0 +1,41 @@
+#include "coordination/gateway/completion_estimate.hpp"
+
+#include "coordination/gateway/server_health.hpp"
+
+#include <algorithm>
+
+namespace acaciaslip::coordination::gateway {
+
+namespace {
+
+/// A server slows down when more than this share of its slots is taken.
+constexpr double nearlyFullShare = 0.8;
+constexpr double nearlyFullSlowdown = 1.5; ///< what the servers of the first users show lies between 1.3 and 1.7
+constexpr double coldSlowdown = 2; ///< likewise of a server that has just started
+
+} // namespace
+
+completion_estimate estimateCompletion(
+    const state::gateway::server_state& server, state::duration typicalWork, state::time_point now) noexcept
+{
+    const bool reported = server.report.has_value();
+    const std::uint32_t saidSlots = reported ? server.report->slots : 0;
+    const double slots = std::max<std::uint32_t>(1, saidSlots > 0 ? saidSlots : server.entry.slots);
+    const double known = reported ? server.report->running + server.sentSinceReport : 0;
+    const double running = std::max<double>(known, server.ownRunning);
+    const double waiting = (reported ? server.report->waiting : 0) + std::max(0.0, running - slots);
+
+    double slowdown = (reported ? server.report->slowdown : 1) * currentSlowness(server, now);
+    if (running + 1 > nearlyFullShare * slots)
+        slowdown *= nearlyFullSlowdown;
+    if (now < server.coldUntil)
+        slowdown *= coldSlowdown;
+    const bool startsAtOnce = running < slots;
+    const double ahead = startsAtOnce ? waiting : waiting + 1;
+    const double works = slowdown * (1 + ahead / slots);
+    // A server that fails a share of its requests costs the time of trying again.
+    const double repeats = 1 / (1 - std::min(0.9, currentFailureShare(server, now)));
+    return { std::chrono::duration_cast<state::duration>(typicalWork * (works * repeats)), startsAtOnce };
+}
+
+} // namespace acaciaslip::coordination::gateway
--- /dev/null
+++ b/src/coordination/gateway/due_requests.cpp
@@ -0,0 +1,26 @@
+#include "coordination/gateway/due_requests.hpp"
+
+#include <algorithm>
+
+namespace acaciaslip::coordination::gateway {
+
+void schedule(node& self, state::gateway::pending_request& request)
+{
+    unschedule(self, request);
+    auto due = request.answerBy;
+    if (request.round)
+        due = std::min(due, request.round->decideAt);
+    if (request.askAgainAt)
+        due = std::min(due, *request.askAgainAt);
+    if (request.hedgeAt)
+        due = std::min(due, *request.hedgeAt);
+    request.dueAt = due;
+    self.due.emplace(due, static_cast<std::uint64_t>(request.id));
+}
+
+void unschedule(node& self, const state::gateway::pending_request& request)
+{
+    self.due.erase({ request.dueAt, static_cast<std::uint64_t>(request.id) });
+}
+
+} // namespace acaciaslip::coordination::gateway
--- /dev/null
+++ b/src/coordination/gateway/effects.hpp
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "coordination/effects.hpp"
+#include "state/gateway/pending_request.hpp"
+#include "state/identifiers.hpp"
+#include "state/time.hpp"
+#include "state/verdict.hpp"
+
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace acaciaslip::coordination::gateway {
+
+/// Ask a server for its health and load.
+struct ask_server {
+    state::gateway::ask_id id {};
+    state::host_id server;
+    std::string address;
+    std::string healthPath;
+    state::duration patience {}; ///< after this the question counts as unanswered
+};
+
+/// Send a request to a server.
+struct send_request {
+    state::attempt_id id {};
+    state::request_id request {};
+    state::host_id server;
+    std::string address;
+    state::duration timeLeft {}; ///< what the server is told that the caller still waits
+};
+
+/// Stop an attempt whose answer nobody waits for.
+struct cancel_attempt {
+    state::attempt_id id {};
+};
+
+/// Give the caller the answer that an attempt brought.
+struct answer_caller {
+    state::request_id id {};
+    state::attempt_id attempt {};
+    bool closeConnection = false; ///< this node is leaving: ask the caller to connect anew
+};
+
+/// Tell the caller that there is no server's answer, and what is known.
+struct refuse_caller {
+    state::request_id id {};
+    state::refusal_reason reason = state::refusal_reason::no_server;
+    state::verdict outcome = state::verdict::not_run;
+    state::duration retryAfter {}; ///< zero: nothing is said
+    bool closeConnection = false; ///< this node is leaving: ask the caller to connect anew
+};
+
+/// Drop the answer that an attempt brought: another one was given.
+struct discard_answer {
+    state::attempt_id attempt {};
+};
+
+/// Everything that a node may ask of transport.
+using effect = std::variant<ask_server, send_request, cancel_attempt, answer_caller, refuse_caller, discard_answer,
+    log_event, node_stopped>;
+
+/// Effects in the order in which they are to happen.
+using effect_list = std::vector<effect>;
+
+} // namespace acaciaslip::coordination::gateway
--- /dev/null
+++ b/src/coordination/gateway/fleet_view.cpp
@@ -0,0 +1,171 @@
+#include "coordination/gateway/fleet_view.hpp"
+
+#include "coordination/gateway/fleet_merge.hpp"
+
+#include <algorithm>
+
+namespace acaciaslip::coordination::gateway {
+
+namespace {
+
+using state::gateway::server_entry;
+using state::gateway::server_state;
+
+/// Servers whose entries lapsed while the store was away register again within this time of its return.
+constexpr state::duration reregistration = std::chrono::seconds { 2 };
+
+log_event describeServer(std::string_view what, const server_entry& entry, state::revision number)
+{
+    return { log_level::info, "server",
+        { { "server", entry.id }, { "what", std::string(what) }, { "service", entry.service },
+            { "address", entry.address }, { "data_centre", entry.dataCentre }, { "revision", std::to_string(number) },
+            { "cold_ms", std::to_string(static_cast<std::int64_t>(state::toMilliseconds(entry.coldLeft))) } } };
+}
+
+void takeConfiguration(node& self, state::time_point now, effect_list& effects)
+{
+    const auto& published = self.published.config;
+    if (!published.value || (self.config && self.config->version == published.value->version))
+        return;
+    self.config = std::make_shared<const state::gateway::configuration>(*published.value);
+    self.splits.clear();
+    if (self.phase == node_phase::starting) {
+        self.phase = node_phase::serving;
+        self.phaseSince = now;
+    }
+    effects.emplace_back(log_event { log_level::info, "configuration",
+        { { "version", std::to_string(self.config->version) }, { "revision", std::to_string(published.number) },
+            { "routes", std::to_string(self.config->routes.size()) } } });
+}
+
+/// A server that has started anew knows and holds nothing of before.
+bool isNewLife(const server_state& known, const server_entry& entry) noexcept
+{
+    return entry.startedAtUnixMs != known.entry.startedAtUnixMs || entry.address != known.entry.address;
+}
+
+void takeServer(
+    node& self, const server_entry& entry, state::revision number, state::time_point now, effect_list& effects)
+{
+    const auto [position, added] = self.servers.try_emplace(entry.id);
+    auto& server = position->second;
+    if (!added && entry.startedAtUnixMs < server.entry.startedAtUnixMs)
+        return; // an earlier life's write that came late
+    server.goneAt.reset();
+    if (!added && server.number == number)
+        return;
+    const bool drains = entry.draining && !server.entry.draining;
+    if (!added && isNewLife(server, entry)) {
+        const auto running = server.ownRunning;
+        server = {};
+        server.ownRunning = running;
+        effects.emplace_back(describeServer("restarted", entry, number));
+    } else if (added || drains)
+        effects.emplace_back(describeServer(added ? "registered" : "draining", entry, number));
+    server.entry = entry;
+    server.number = number;
+    if (entry.coldLeft > state::duration::zero())
+        server.coldUntil = std::max(server.coldUntil, now + entry.coldLeft);
+}
+
+/// While the store is away and shortly after, an entry may have lapsed only because its server could not renew it.
+state::time_point findGoneAt(const node& self, state::time_point now)
+{
+    if (self.storeLostAt)
+        return state::time_point::max();
+    return self.storeBackAt ? std::max(now, *self.storeBackAt + reregistration) : now;
+}
+
+void dropMissingServers(node& self, state::time_point now, effect_list& effects)
+{
+    for (auto position = self.servers.begin(); position != self.servers.end();) {
+        auto& [id, server] = *position;
+        const auto published = self.published.servers.find(id);
+        if (published != self.published.servers.end() && published->second.value) {
+            ++position;
+            continue;
+        }
+        if (!server.goneAt)
+            effects.emplace_back(describeServer("unregistered", server.entry, self.published.asOf));
+        server.goneAt = std::min(server.goneAt.value_or(state::time_point::max()), findGoneAt(self, now));
+        position = *server.goneAt <= now ? self.servers.erase(position) : std::next(position);
+    }
+}
+
+void listMembers(node& self)
+{
+    for (auto& [name, service] : self.services)
+        service.members.clear();
+    for (auto& [id, server] : self.servers) {
+        const auto out = self.published.evacuations.find(server.entry.dataCentre);
+        server.evacuated = out != self.published.evacuations.end() && out->second.value.has_value();
+        self.services[server.entry.service].members.push_back(id);
+    }
+    for (auto& [name, service] : self.services)
+        std::sort(service.members.begin(), service.members.end());
+}
+
+void logEvacuations(const std::map<state::data_centre_id, bool>& before, const node& self, effect_list& effects)
+{
+    for (const auto& [dataCentre, item] : self.published.evacuations) {
+        const auto known = before.find(dataCentre);
+        if (item.value.has_value() == (known != before.end() && known->second))
+            continue;
+        effects.emplace_back(log_event { log_level::info, "evacuation",
+            { { "data_centre", dataCentre }, { "out", item.value ? "yes" : "no" },
+                { "revision", std::to_string(item.number) } } });
+    }
+}
+
+void applyFleet(node& self, state::time_point now, effect_list& effects)
+{
+    takeConfiguration(self, now, effects);
+    for (const auto& [id, item] : self.published.servers) {
+        if (item.value)
+            takeServer(self, *item.value, item.number, now, effects);
+    }
+    dropMissingServers(self, now, effects);
+    listMembers(self);
+}
+
+} // namespace
+
+void notePublished(node& self, const fleet_published& published, state::time_point now, effect_list& effects)
+{
+    std::map<state::data_centre_id, bool> evacuated;
+    for (const auto& [dataCentre, item] : self.published.evacuations)
+        evacuated[dataCentre] = item.value.has_value();
+    const auto merged = mergeDelta(self.published, published.delta);
+    if (!merged.changed)
+        return;
+    ++self.counters.deltasApplied;
+    logEvacuations(evacuated, self, effects);
+    applyFleet(self, now, effects);
+}
+
+void noteStoreLost(node& self, const store_lost& lost, state::time_point now, effect_list& effects)
+{
+    if (self.storeLostAt)
+        return;
+    self.storeLostAt = now;
+    ++self.counters.storeLosses;
+    effects.emplace_back(log_event { log_level::warning, "store_lost",
+        { { "reason", lost.reason }, { "revision", std::to_string(self.published.asOf) } } });
+}
+
+void noteStoreRegained(node& self, state::time_point now, effect_list& effects)
+{
+    if (!self.storeLostAt)
+        return;
+    effects.emplace_back(log_event { log_level::info, "store_regained",
+        { { "away_ms", std::to_string(static_cast<std::int64_t>(state::toMilliseconds(now - *self.storeLostAt))) },
+            { "revision", std::to_string(self.published.asOf) } } });
+    self.storeLostAt.reset();
+    self.storeBackAt = now;
+    for (auto& [id, server] : self.servers) {
+        if (server.goneAt)
+            server.goneAt = std::min(*server.goneAt, now + reregistration);
+    }
+}
+
+} // namespace acaciaslip::coordination::gateway
--- /dev/null
+++ b/src/coordination/gateway/fleet_view.hpp
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "coordination/gateway/node.hpp"
+
+namespace acaciaslip::coordination::gateway {
+
+/// Takes what was read of the published fleet: what is newer changes the servers, services and configuration in use.
+void notePublished(node& self, const fleet_published& published, state::time_point now, effect_list& effects);
+
+/// Notes that the store stopped answering: entries that lapse meanwhile may come back with it.
+void noteStoreLost(node& self, const store_lost& lost, state::time_point now, effect_list& effects);
+
+/// Notes that the store answers again.
+void noteStoreRegained(node& self, state::time_point now, effect_list& effects);
+
+} // namespace acaciaslip::coordination::gateway
--- /dev/null
+++ b/src/coordination/gateway/node.cpp
@@ -0,0 +1,64 @@
+#include "coordination/gateway/node.hpp"
+
+#include "coordination/gateway/asking.hpp"
+#include "coordination/gateway/fleet_view.hpp"
+#include "coordination/gateway/request_flow.hpp"
+#include "coordination/gateway/stopping.hpp"
+
+namespace acaciaslip::coordination::gateway {
+
+namespace {
+
+/// Everything a handler may need, so that one overload set can dispatch.
+struct dispatch {
+    node& self;
+    state::time_point now;
+    random_generator& random;
+    effect_list& effects;
+
+    void operator()(const request_arrived& arrived) const { admitRequest(self, arrived, now, random, effects); }
+    void operator()(const caller_gone& gone) const { noteCallerGone(self, gone, now, effects); }
+    void operator()(const ask_finished& finished) const { noteAskFinished(self, finished, now, random, effects); }
+    void operator()(const attempt_finished& finished) const
+    {
+        noteAttemptFinished(self, finished, now, random, effects);
+    }
+    void operator()(const fleet_published& published) const { notePublished(self, published, now, effects); }
+    void operator()(const store_lost& lost) const { noteStoreLost(self, lost, now, effects); }
+    void operator()(const store_regained&) const { noteStoreRegained(self, now, effects); }
+    void operator()(const hosts_counted& counted) const { self.share = { counted.hosts, counted.rank }; }
+    void operator()(const stop_requested&) const { beginStop(self, now, effects); }
+    void operator()(const timer_expired&) const { }
+};
+
+} // namespace
+
+node makeNode(node_settings settings, state::time_point now)
+{
+    node made;
+    made.settings = std::move(settings);
+    made.phaseSince = now;
+    return made;
+}
+
+void handle(node& self, const event& happened, state::time_point now, random_generator& random, effect_list& effects)
+{
+    std::visit(dispatch { self, now, random, effects }, happened);
+    advanceDueRequests(self, now, random, effects);
+    advanceStop(self, now, effects);
+}
+
+std::optional<state::time_point> nextWakeUp(const node& self) noexcept
+{
+    auto next = nextStopStep(self);
+    if (!self.due.empty())
+        next = std::min(next.value_or(state::time_point::max()), self.due.begin()->first);
+    return next;
+}
+
+bool isReady(const node& self) noexcept
+{
+    return self.phase == node_phase::serving;
+}
+
+} // namespace acaciaslip::coordination::gateway
--- /dev/null
+++ b/src/coordination/gateway/request_end.cpp
@@ -0,0 +1,122 @@
+#include "coordination/gateway/request_end.hpp"
+
+#include "coordination/gateway/due_requests.hpp"
+#include "coordination/gateway/retry_after.hpp"
+#include "coordination/gateway/server_load.hpp"
+
+#include <fmt/format.h>
+
+namespace acaciaslip::coordination::gateway {
+
+namespace {
+
+using state::gateway::pending_request;
+
+bool isLeaving(const node& self) noexcept
+{
+    return self.phase >= node_phase::leaving;
+}
+
+std::string milliseconds(state::duration span)
+{
+    return fmt::format("{:.1f}", state::toMilliseconds(span));
+}
+
+std::string joinTried(const pending_request& request)
+{
+    return fmt::format("{}", fmt::join(request.tried, ","));
+}
+
+log_event describe(const pending_request& request, std::string_view outcome, state::time_point now)
+{
+    return { log_level::info, "request",
+        { { "id", request.callerRequestId }, { "route", request.matched->name }, { "service", request.service },
+            { "config", std::to_string(request.config->version) }, { "outcome", std::string(outcome) },
+            { "ms", milliseconds(now - request.arrivedAt) }, { "servers", joinTried(request) },
+            { "sends", std::to_string(request.sends) }, { "rounds", std::to_string(request.rounds) } } };
+}
+
+void cancelRunning(node& self, const pending_request& request, effect_list& effects)
+{
+    for (const auto& attempt : request.running) {
+        effects.emplace_back(cancel_attempt { attempt.id });
+        self.attempts.erase(static_cast<std::uint64_t>(attempt.id));
+        noteSendEnded(self, attempt.server);
+    }
+}
+
+void forget(node& self, const pending_request& request)
+{
+    unschedule(self, request);
+    self.requests.erase(static_cast<std::uint64_t>(request.id));
+}
+
+void countEnd(node& self, const pending_request& request, state::verdict outcome, state::time_point now)
+{
+    ++self.counters.requestsByVerdict[outcome];
+    state::observe(self.counters.durationByVerdict[outcome], now - request.arrivedAt);
+}
+
+} // namespace
+
+state::verdict verdictWithoutAnswer(const pending_request& request) noexcept
+{
+    return request.mayHaveRun || !request.running.empty() ? state::verdict::may_have_run : state::verdict::not_run;
+}
+
+void endWithAnswer(node& self, pending_request& request, const state::gateway::kept_answer& answer,
+    state::time_point now, effect_list& effects)
+{
+    countEnd(self, request, state::verdict::ran, now);
+    auto line = describe(request, "answered", now);
+    line.fields.emplace_back("server", answer.server);
+    effects.emplace_back(std::move(line));
+    effects.emplace_back(answer_caller { request.id, answer.attempt, isLeaving(self) });
+    if (request.fallback && request.fallback->attempt != answer.attempt)
+        effects.emplace_back(discard_answer { request.fallback->attempt });
+    cancelRunning(self, request, effects);
+    forget(self, request);
+}
+
+void endWithRefusal(node& self, pending_request& request, state::refusal_reason reason, state::time_point now,
+    random_generator& random, effect_list& effects)
+{
+    if (request.fallback)
+        return endWithAnswer(self, request, state::gateway::kept_answer(*request.fallback), now, effects);
+    const auto outcome = verdictWithoutAnswer(request);
+    countEnd(self, request, outcome, now);
+    ++self.counters.refusals[reason];
+    auto line = describe(request, state::findName(state::refusalReasonNames, reason), now);
+    line.fields.emplace_back("verdict", state::findName(state::verdictNames, outcome));
+    line.fields.emplace_back("last", state::findName(state::attemptOutcomeNames, request.lastOutcome));
+    effects.emplace_back(std::move(line));
+    const auto retryAfter = findRetryAfter(self, request.service, reason, random);
+    effects.emplace_back(refuse_caller { request.id, reason, outcome, retryAfter, isLeaving(self) });
+    cancelRunning(self, request, effects);
+    forget(self, request);
+}
+
+void endUnheard(node& self, pending_request& request, state::time_point now, effect_list& effects)
+{
+    ++self.counters.callersGone;
+    effects.emplace_back(describe(request, "caller_gone", now));
+    if (request.fallback)
+        effects.emplace_back(discard_answer { request.fallback->attempt });
+    cancelRunning(self, request, effects);
+    forget(self, request);
+}
+
+void refuseUnkept(node& self, state::request_id id, std::string_view callerRequestId, state::refusal_reason reason,
+    random_generator& random, effect_list& effects)
+{
+    ++self.counters.requestsByVerdict[state::verdict::not_run];
+    ++self.counters.refusals[reason];
+    effects.emplace_back(log_event { log_level::info, "request",
+        { { "id", std::string(callerRequestId) },
+            { "outcome", std::string(state::findName(state::refusalReasonNames, reason)) },
+            { "config", self.config ? std::to_string(self.config->version) : "none" } } });
+    effects.emplace_back(refuse_caller {
+        id, reason, state::verdict::not_run, findRetryAfter(self, {}, reason, random), isLeaving(self) });
+}
+
+} // namespace acaciaslip::coordination::gateway
--- /dev/null
+++ b/src/coordination/gateway/retry_after.cpp
@@ -0,0 +1,57 @@
+#include "coordination/gateway/retry_after.hpp"
+
+namespace acaciaslip::coordination::gateway {
+
+namespace {
+
+constexpr state::duration afterLeaving = std::chrono::milliseconds { 10 }; ///< another host can serve at once
+constexpr state::duration afterStarting = std::chrono::milliseconds { 200 }; ///< until settings have been read
+constexpr state::duration afterNoServer = std::chrono::milliseconds { 250 }; ///< until servers are back
+constexpr state::duration afterOverload = std::chrono::milliseconds { 100 }; ///< until a running request ends
+constexpr double overloadWorkShare = 0.5; ///< of the service's typical work: by then half of its slots have changed
+/// Work as a share of the objective, before any answer was seen: operators set objectives at twice to thrice the work.
+constexpr double assumedWorkShare = 0.4;
+
+state::duration spread(state::duration base, random_generator& random)
+{
+    const auto half = static_cast<std::uint32_t>(base.count() / 2);
+    return base / 2 + state::duration { random(half + 1) } + state::duration { half / 2 };
+}
+
+state::duration findBase(const node& self, std::string_view service, state::refusal_reason reason)
+{
+    switch (reason) {
+    case state::refusal_reason::leaving:
+        return afterLeaving;
+    case state::refusal_reason::no_server:
+        return self.config ? afterNoServer : afterStarting;
+    case state::refusal_reason::overloaded: {
+        const auto known = self.services.find(std::string(service));
+        if (known == self.services.end() || !known->second.typicalWork)
+            return afterOverload;
+        return std::max(
+            afterOverload, std::chrono::duration_cast<state::duration>(*known->second.typicalWork * overloadWorkShare));
+    }
+    default:
+        return {};
+    }
+}
+
+} // namespace
+
+state::duration findRetryAfter(
+    const node& self, std::string_view service, state::refusal_reason reason, random_generator& random)
+{
+    const auto base = findBase(self, service, reason);
+    return base > state::duration::zero() ? spread(base, random) : base;
+}
+
+state::duration typicalWork(const node& self, std::string_view service, state::duration objective) noexcept
+{
+    const auto known = self.services.find(std::string(service));
+    if (known != self.services.end() && known->second.typicalWork)
+        return *known->second.typicalWork;
+    return std::chrono::duration_cast<state::duration>(objective * assumedWorkShare);
+}
+
+} // namespace acaciaslip::coordination::gateway
--- /dev/null
+++ b/src/coordination/gateway/route_lookup.hpp
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "state/gateway/configuration.hpp"
+
+#include <string_view>
+
+namespace acaciaslip::coordination::gateway {
+
+/// Finds the route of a host whose prefix is the longest that begins the path.
+/// \return the route, or null when none matches
+[[nodiscard]] const state::gateway::route* findRoute(
+    const state::gateway::configuration& config, std::string_view host, std::string_view path) noexcept;
+
+} // namespace acaciaslip::coordination::gateway
--- /dev/null
+++ b/src/coordination/gateway/sending.cpp
@@ -0,0 +1,92 @@
+#include "coordination/gateway/sending.hpp"
+
+#include "coordination/gateway/due_requests.hpp"
+#include "coordination/gateway/request_end.hpp"
+#include "coordination/gateway/retry_after.hpp"
+#include "coordination/gateway/server_load.hpp"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+namespace acaciaslip::coordination::gateway {
+
+namespace {
+
+using state::gateway::asking_reason;
+using state::gateway::pending_request;
+
+/// Refused sends beyond the route's attempts that one request may have: each is one more arrival at a server.
+constexpr std::uint32_t mostRefusedSends = 2;
+/// A second server is asked when a request that it would start then still meets the objective, with this margin.
+constexpr double hedgeWorks = 1.3;
+/// But not before the first server has had this many times the work that was expected of it.
+constexpr double hedgePatience = 1.2;
+
+std::optional<state::time_point> planHedge(
+    const node& self, const pending_request& request, state::duration expected, state::time_point now)
+{
+    if (request.matched->kind != state::gateway::request_kind::idempotent || request.matched->attempts < 2)
+        return std::nullopt;
+    const auto typical = typicalWork(self, request.service, request.matched->objective);
+    const auto latest = request.objectiveAt - std::chrono::duration_cast<state::duration>(typical * hedgeWorks);
+    const auto earliest = now + std::chrono::duration_cast<state::duration>(expected * hedgePatience);
+    const auto at = std::max(latest, earliest);
+    return at + typical < request.answerBy ? std::optional { at } : std::nullopt;
+}
+
+void logRepeat(const node& self, const pending_request& request, const state::host_id& server, asking_reason reason,
+    const completion_estimate& estimate, effect_list& effects)
+{
+    effects.emplace_back(log_event { log_level::info, "repeat",
+        { { "id", request.callerRequestId },
+            { "why", std::string(state::findName(state::gateway::askingReasonNames, reason)) }, { "server", server },
+            { "expected_ms", fmt::format("{:.1f}", state::toMilliseconds(estimate.time)) },
+            { "last", std::string(state::findName(state::attemptOutcomeNames, request.lastOutcome)) },
+            { "hosts", std::to_string(self.share.hosts) } } });
+}
+
+} // namespace
+
+bool mayRepeat(node& self, const pending_request& request, state::time_point now)
+{
+    const bool idempotent = request.matched->kind == state::gateway::request_kind::idempotent;
+    if (!idempotent && (request.mayHaveRun || !request.running.empty()))
+        return false;
+    if (request.possibleRuns >= request.matched->attempts
+        || request.sends >= request.matched->attempts + mostRefusedSends)
+        return false;
+    const bool allowed = request.sends == 0
+        || mayRepeat(self.services[request.service].repeats, self.settings.bounds, self.share.hosts, now);
+    self.counters.repeatsDenied += allowed ? 0 : 1;
+    return allowed;
+}
+
+void sendRequest(node& self, pending_request& request, state::host_id server, const completion_estimate& estimate,
+    asking_reason reason, state::time_point now, random_generator& random, effect_list& effects)
+{
+    request.round.reset();
+    if (!mayRepeat(self, request, now)) {
+        if (reason == asking_reason::hedge)
+            return schedule(self, request);
+        return endWithRefusal(self, request, state::refusal_reason::overloaded, now, random, effects);
+    }
+    if (request.sends > 0) {
+        noteRepeat(self.services[request.service].repeats, self.settings.bounds, now);
+        logRepeat(self, request, server, reason, estimate, effects);
+        ++(reason == asking_reason::hedge ? self.counters.hedges : self.counters.retries);
+    }
+    const auto id = state::attempt_id { self.nextAttempt++ };
+    self.attempts[static_cast<std::uint64_t>(id)] = { request.id, server };
+    noteSend(self, server, now);
+    ++request.sends;
+    ++request.possibleRuns;
+    request.tried.push_back(server);
+    request.running.push_back({ id, server, now, estimate.time, reason == asking_reason::hedge });
+    request.hedgeAt = planHedge(self, request, estimate.time, now);
+    const auto& address = self.servers.at(server).entry.address;
+    effects.emplace_back(send_request { id, request.id, server, address, request.answerBy - now });
+    schedule(self, request);
+}
+
+} // namespace acaciaslip::coordination::gateway
--- /dev/null
+++ b/src/coordination/gateway/sending.hpp
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "coordination/gateway/completion_estimate.hpp"
+#include "coordination/gateway/node.hpp"
+
+namespace acaciaslip::coordination::gateway {
+
+/// Sends a request to a server, if the retry budget allows it where it is a repeat.
+void sendRequest(node& self, state::gateway::pending_request& request, state::host_id server,
+    const completion_estimate& estimate, state::gateway::asking_reason reason, state::time_point now,
+    random_generator& random, effect_list& effects);
+
+/// Whether a request may be sent once more, as far as its kind, its route and the retry budget say.
+[[nodiscard]] bool mayRepeat(node& self, const state::gateway::pending_request& request, state::time_point now);
+
+} // namespace acaciaslip::coordination::gateway
--- /dev/null
+++ b/src/coordination/gateway/server_load.cpp
@@ -0,0 +1,39 @@
+#include "coordination/gateway/server_load.hpp"
+
+namespace acaciaslip::coordination::gateway {
+
+void noteReport(node& self, const state::host_id& server, state::gateway::load_report report, state::time_point now)
+{
+    auto* const known = findServer(self, server);
+    if (known == nullptr)
+        return;
+    report.heardAt = now;
+    known->report = report;
+    known->sentSinceReport = 0;
+}
+
+void noteSend(node& self, const state::host_id& server, state::time_point now)
+{
+    auto* const known = findServer(self, server);
+    if (known == nullptr)
+        return;
+    ++known->ownRunning;
+    ++known->sentSinceReport;
+    if (now < known->coldUntil)
+        known->lastColdSendAt = now;
+}
+
+void noteSendEnded(node& self, const state::host_id& server)
+{
+    auto* const known = findServer(self, server);
+    if (known != nullptr && known->ownRunning > 0)
+        --known->ownRunning;
+}
+
+state::gateway::server_state* findServer(node& self, const state::host_id& id)
+{
+    const auto found = self.servers.find(id);
+    return found == self.servers.end() ? nullptr : &found->second;
+}
+
+} // namespace acaciaslip::coordination::gateway
--- /dev/null
+++ b/src/coordination/gateway/settings.hpp
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "state/identifiers.hpp"
+#include "state/time.hpp"
+
+#include <cstdint>
+
+namespace acaciaslip::coordination::gateway {
+
+/// What the fleet as a whole may spend and how fast it must act; the defaults hold where the settings name none.
+struct fleet_bounds {
+    double retryRatio = 0.2; ///< repeats per request, over `retryWindow`
+    state::duration retryWindow = std::chrono::seconds { 10 };
+    double retrySlack = 50; ///< repeats in `retryWindow` beside the ratio, over all hosts
+    double coldOverloadFactor = 1.5; ///< over a cold server's rate, before it is overloaded
+    double coldSlack = 5; ///< requests in a second beside it
+    state::duration stopGrace = std::chrono::seconds { 6 }; ///< between SIGTERM and SIGKILL
+};
+
+/// What is this node's own.
+struct node_settings {
+    state::host_id id;
+    state::data_centre_id dataCentre;
+    fleet_bounds bounds;
+};
+
+} // namespace acaciaslip::coordination::gateway
--- /dev/null
+++ b/src/coordination/gateway/stopping.cpp
@@ -0,0 +1,53 @@
+#include "coordination/gateway/stopping.hpp"
+
+#include <algorithm>
+
+namespace acaciaslip::coordination::gateway {
+
+namespace {
+
+/// The balancer asks once a second and gives no new connections after two misses; the rest is for those on their way.
+constexpr state::duration leavingLasts = std::chrono::milliseconds { 2700 };
+constexpr double leavingMostOfGrace = 0.5; ///< where the time until SIGKILL is short
+
+void enterPhase(node& self, node_phase phase, state::time_point now, effect_list& effects)
+{
+    self.phase = phase;
+    self.phaseSince = now;
+    effects.emplace_back(log_event { log_level::info, "phase",
+        { { "phase", std::string(state::findName(nodePhaseNames, phase)) },
+            { "in_progress", std::to_string(self.requests.size()) } } });
+}
+
+state::duration leavingTime(const node& self) noexcept
+{
+    return std::min(
+        leavingLasts, std::chrono::duration_cast<state::duration>(self.settings.bounds.stopGrace * leavingMostOfGrace));
+}
+
+} // namespace
+
+void beginStop(node& self, state::time_point now, effect_list& effects)
+{
+    if (self.phase < node_phase::leaving)
+        enterPhase(self, node_phase::leaving, now, effects);
+}
+
+void advanceStop(node& self, state::time_point now, effect_list& effects)
+{
+    if (self.phase == node_phase::leaving && now - self.phaseSince >= leavingTime(self))
+        enterPhase(self, node_phase::draining, now, effects);
+    if (self.phase == node_phase::draining && self.requests.empty()) {
+        enterPhase(self, node_phase::stopped, now, effects);
+        effects.emplace_back(node_stopped {});
+    }
+}
+
+std::optional<state::time_point> nextStopStep(const node& self) noexcept
+{
+    if (self.phase == node_phase::leaving)
+        return self.phaseSince + leavingTime(self);
+    return std::nullopt;
+}
+
+} // namespace acaciaslip::coordination::gateway
--- /dev/null
+++ b/src/platform/gateway.cpp
@@ -0,0 +1,123 @@
+#include "platform/gateway.hpp"
+
+#include "platform/host_settings.hpp"
+#include "platform/server_headers.hpp"
+#include "platform/store_client.hpp"
+#include "transport/loop/gateway_daemon.hpp"
+#include "transport/loop/signal_handler.hpp"
+
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+
+#include <fmt/format.h>
+
+namespace acaciaslip::platform {
+
+namespace {
+
+constexpr int exitDone = 0;
+constexpr int exitFailed = 1;
+
+int sayNo(std::string_view problem)
+{
+    fmt::print(stderr, "acaciaslip: {}\n", problem);
+    return exitFailed;
+}
+
+std::string settingsFile()
+{
+    const char* const path = std::getenv(settingsVariable);
+    return path != nullptr ? path : "";
+}
+
+transport::loop::gateway_settings makeGatewaySettings(const host_settings& host)
+{
+    transport::loop::gateway_settings settings;
+    settings.node = { host.id, host.dataCentre, host.bounds };
+    settings.dialect = makeDialect();
+    settings.callers = host.callers;
+    settings.health = host.health;
+    settings.operators = host.operators;
+    return settings;
+}
+
+coordination::log_event describeStart(const host_settings& host)
+{
+    return { coordination::log_level::info, "started",
+        { { "version", ACACIASLIP_VERSION }, { "id", host.id }, { "data_centre", host.dataCentre },
+            { "callers", host.callers }, { "operators", host.operators }, { "store", host.store } } };
+}
+
+/// The process and what it follows.
+class gateway_process {
+public:
+    explicit gateway_process(const host_settings& host)
+        : m_daemon(makeGatewaySettings(host))
+        , m_store(
+              m_daemon.loop(), host.store, [this](auto event) { m_daemon.post(std::move(event)); },
+              [this](const auto& line) { m_daemon.log(line); })
+        , m_signals(m_daemon.loop(), { SIGTERM, SIGINT, SIGHUP }, [this](int number) { noteSignal(number); })
+    {
+        m_daemon.setMoreGauges([this](auto& gauges) { gauges.storeCalls = m_store.calls(); });
+        m_daemon.setClosing([this] {
+            m_store.stop();
+            m_signals.close();
+        });
+        m_daemon.log(describeStart(host));
+    }
+
+    absl::Status start()
+    {
+        if (auto status = m_daemon.start(); !status.ok())
+            return status;
+        m_store.start();
+        return absl::OkStatus();
+    }
+
+    void run() { m_daemon.run(); }
+
+private:
+    void noteSignal(int number)
+    {
+        m_daemon.log({ coordination::log_level::info, "signal", { { "number", std::to_string(number) } } });
+        if (number == SIGHUP)
+            return reload();
+        m_daemon.post(coordination::gateway::stop_requested {});
+    }
+
+    /// Takes the settings that may change while a process runs; a file with errors changes nothing.
+    void reload()
+    {
+        const auto host = loadHostSettings(settingsFile());
+        if (!host.ok())
+            return m_daemon.log({ coordination::log_level::error, "settings_refused",
+                { { "why", std::string(host.status().message()) } } });
+        m_daemon.setBounds(host->bounds);
+        m_store.setAddress(host->store);
+        m_daemon.log({ coordination::log_level::info, "settings_reloaded", { { "store", host->store } } });
+    }
+
+    transport::loop::gateway_daemon m_daemon;
+    store_client m_store;
+    transport::loop::signal_handler m_signals;
+};
+
+} // namespace
+
+int runGateway()
+{
+    const auto file = settingsFile();
+    if (file.empty())
+        return sayNo(fmt::format("{} is not set; it names the settings file", settingsVariable));
+    const auto host = loadHostSettings(file);
+    if (!host.ok())
+        return sayNo(std::string(host.status().message()));
+    gateway_process process(*host);
+    if (const auto status = process.start(); !status.ok())
+        return sayNo(std::string(status.message()));
+    process.run();
+    return exitDone;
+}
+
+} // namespace acaciaslip::platform
--- /dev/null
+++ b/src/platform/host_settings.cpp
@@ -0,0 +1,163 @@
+#include "platform/host_settings.hpp"
+
+#include "platform/span.hpp"
+
+#include <fstream>
+#include <sstream>
+
+#include <fmt/format.h>
+#include <yaml-cpp/yaml.h>
+
+namespace acaciaslip::platform {
+
+namespace {
+
+std::string place(const std::string& file, const YAML::Mark& mark)
+{
+    return mark.is_null() ? file : fmt::format("{}:{}:{}", file, mark.line + 1, mark.column + 1);
+}
+
+/// Reads fields and gathers every error.
+class field_reader {
+public:
+    field_reader(const YAML::Node& root, std::string file)
+        : m_root(root)
+        , m_file(std::move(file))
+    {
+    }
+
+    /// Finds the node at "table.field"; undefined when some part is missing.
+    [[nodiscard]] YAML::Node find(std::string_view path) const
+    {
+        YAML::Node node;
+        node.reset(m_root);
+        while (!path.empty()) {
+            const auto dot = std::min(path.find('.'), path.size());
+            if (!node.IsMap())
+                return YAML::Node(YAML::NodeType::Undefined);
+            const YAML::Node& table = node; // a constant node does not grow when it is read
+            node.reset(table[std::string(path.substr(0, dot))]);
+            if (!node.IsDefined())
+                return node;
+            path.remove_prefix(std::min(dot + 1, path.size()));
+        }
+        return node;
+    }
+
+    std::string requiredText(std::string_view path)
+    {
+        const auto node = find(path);
+        if (node.IsDefined() && node.IsScalar() && !node.Scalar().empty())
+            return node.Scalar();
+        addError(node, path, "is missing or no text");
+        return {};
+    }
+
+    [[nodiscard]] std::string optionalText(std::string_view path) const
+    {
+        const auto node = find(path);
+        return node.IsDefined() && node.IsScalar() ? node.Scalar() : std::string {};
+    }
+
+    void readNumber(std::string_view path, double& to)
+    {
+        const auto node = find(path);
+        if (!node.IsDefined() || node.IsNull())
+            return;
+        if (!node.IsScalar() || !YAML::convert<double>::decode(node, to))
+            addError(node, path, "is no number");
+    }
+
+    void readSpan(std::string_view path, state::duration& to)
+    {
+        const auto node = find(path);
+        if (!node.IsDefined() || node.IsNull())
+            return;
+        const auto span = node.IsScalar() ? platform::readSpan(node.Scalar()) : std::nullopt;
+        if (span)
+            to = *span;
+        else
+            addError(node, path, "is no span of time: write a number and ms or s");
+    }
+
+    [[nodiscard]] std::vector<std::string> readList(std::string_view path) const
+    {
+        std::vector<std::string> list;
+        const auto node = find(path);
+        if (node.IsDefined() && node.IsSequence()) {
+            for (const auto& entry : node) {
+                if (entry.IsScalar())
+                    list.push_back(entry.Scalar());
+            }
+        }
+        return list;
+    }
+
+    [[nodiscard]] const std::string& errors() const noexcept { return m_errors; }
+
+private:
+    void addError(const YAML::Node& node, std::string_view path, std::string_view problem)
+    {
+        const auto mark = node.IsDefined() ? node.Mark() : YAML::Mark::null_mark();
+        m_errors += fmt::format("{}{}: {} {}", m_errors.empty() ? "" : "\n", place(m_file, mark), path, problem);
+    }
+
+    YAML::Node m_root;
+    std::string m_file;
+    std::string m_errors;
+};
+
+void readBounds(field_reader& fields, coordination::gateway::fleet_bounds& bounds)
+{
+    fields.readNumber("terms.bounds.retry-ratio", bounds.retryRatio);
+    fields.readSpan("terms.bounds.retry-window", bounds.retryWindow);
+    fields.readNumber("terms.bounds.retry-slack", bounds.retrySlack);
+    fields.readNumber("terms.bounds.cold-overload-factor", bounds.coldOverloadFactor);
+    fields.readNumber("terms.bounds.cold-slack", bounds.coldSlack);
+    fields.readSpan("terms.bounds.grace", bounds.stopGrace);
+}
+
+host_settings readFields(field_reader& fields)
+{
+    host_settings settings;
+    settings.id = fields.requiredText("self.node-name");
+    settings.ip = fields.requiredText("self.ip");
+    settings.dataCentre = fields.requiredText("self.zone");
+    settings.callers = fields.requiredText("network.listen.front");
+    settings.health = fields.requiredText("network.listen.ready");
+    settings.operators = fields.optionalText("network.listen.control");
+    settings.seeds = fields.readList("network.seeds");
+    // The store's table bears the name of the table that it stands in.
+    settings.store = fields.requiredText("platform.platform.address");
+    fields.readNumber("platform.platform.reads-per-s", settings.storeReadsPerSecond);
+    const auto ports = fields.readList("network.internal-ports");
+    settings.firstInternalPort = ports.empty() ? 0 : std::atoi(ports.front().c_str()); // NOLINT(cert-err34-c)
+    readBounds(fields, settings.bounds);
+    return settings;
+}
+
+} // namespace
+
+absl::StatusOr<host_settings> readHostSettings(const std::string& text, const std::string& file)
+{
+    try {
+        field_reader fields(YAML::Load(text), file);
+        auto settings = readFields(fields);
+        if (!fields.errors().empty())
+            return absl::InvalidArgumentError(fields.errors());
+        return settings;
+    } catch (const YAML::Exception& problem) {
+        return absl::InvalidArgumentError(fmt::format("{}: {}", place(file, problem.mark), problem.msg));
+    }
+}
+
+absl::StatusOr<host_settings> loadHostSettings(const std::string& file)
+{
+    std::ifstream stream(file);
+    std::stringstream text;
+    if (!stream || !(text << stream.rdbuf()))
+        return absl::NotFoundError(fmt::format("{} cannot be read, or is empty; check {}", file, settingsVariable));
+    return readHostSettings(text.str(), file);
+}
+
+} // namespace acaciaslip::platform
--- /dev/null
+++ b/src/platform/item_reader.cpp
@@ -0,0 +1,263 @@
+#include "platform/item_reader.hpp"
+
+#include "platform/span.hpp"
+
+#include <algorithm>
+#include <limits>
+
+#include <absl/strings/escaping.h>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace acaciaslip::platform {
+
+namespace {
+
+using nlohmann::json;
+using state::gateway::configuration;
+using state::gateway::server_entry;
+
+constexpr std::string_view configurationKey = "op/config";
+constexpr std::string_view evacuationPrefix = "op/evacuate/";
+constexpr int hexadecimal = 16;
+
+/// Says which field cannot be read; thrown and caught within this file.
+struct field_error {
+    std::string field;
+};
+
+const json& at(const json& from, const char* field)
+{
+    const auto found = from.is_object() ? from.find(field) : from.end();
+    if (!from.is_object() || found == from.end())
+        throw field_error { field };
+    return *found;
+}
+
+std::string text(const json& from, const char* field)
+{
+    const auto& value = at(from, field);
+    if (!value.is_string() || value.get_ref<const std::string&>().empty())
+        throw field_error { field };
+    return value.get<std::string>();
+}
+
+template <typename Number> Number number(const json& from, const char* field)
+{
+    const auto& value = at(from, field);
+    if (!value.is_number())
+        throw field_error { field };
+    const auto read = value.get<double>();
+    constexpr double mostExact = 9007199254740992; // doubles above it skip whole numbers
+    const auto most = std::min(mostExact, static_cast<double>(std::numeric_limits<Number>::max()));
+    if (!(read >= 0) || read > most)
+        throw field_error { field };
+    return static_cast<Number>(read);
+}
+
+state::duration span(const json& from, const char* field)
+{
+    const auto& value = at(from, field);
+    const auto read = value.is_string() ? readSpan(value.get_ref<const std::string&>()) : std::nullopt;
+    if (!read)
+        throw field_error { field };
+    return *read;
+}
+
+state::duration spanOrZero(const json& from, const char* field)
+{
+    return from.contains(field) ? span(from, field) : state::duration {};
+}
+
+bool draining(const json& status)
+{
+    const auto state = text(status, "state");
+    if (state != "ready" && state != "draining")
+        throw field_error { "state" };
+    return state == "draining";
+}
+
+server_entry readEntry(const std::string& id, const json& from)
+{
+    server_entry entry;
+    entry.id = id;
+    entry.address = text(from, "address");
+    const auto& info = at(from, "info");
+    entry.service = text(info, "service");
+    entry.dataCentre = text(info, "zone");
+    entry.slots = number<std::uint32_t>(info, "max-concurrency");
+    const auto& status = at(from, "status");
+    entry.draining = draining(status);
+    entry.coldLeft = spanOrZero(status, "cold-left");
+    if (from.contains("born")) {
+        if (!from["born"].is_number_integer())
+            throw field_error { "born" };
+        entry.startedAtUnixMs = from["born"].get<std::int64_t>();
+    }
+    if (entry.slots == 0)
+        throw field_error { "max-concurrency" };
+    return entry;
+}
+
+state::gateway::request_kind readKind(const json& rule)
+{
+    const auto name = text(rule, "kind");
+    const auto kind = state::findValue<state::gateway::request_kind>(state::gateway::requestKindNames, name);
+    // Of a kind that is not known only this is known: it may not run twice.
+    return kind.value_or(state::gateway::request_kind::non_idempotent);
+}
+
+std::vector<state::gateway::split_part> readSplit(const json& action)
+{
+    if (!action.contains("split"))
+        return { { text(action, "service"), 1 } };
+    std::vector<state::gateway::split_part> parts;
+    for (const auto& part : at(action, "split"))
+        parts.push_back({ text(part, "service"), number<std::uint32_t>(part, "weight") });
+    if (parts.empty())
+        throw field_error { "split" };
+    return parts;
+}
+
+state::gateway::route readRoute(const std::string& host, const json& rule)
+{
+    state::gateway::route route;
+    const auto& action = at(rule, "action");
+    route.name = text(rule, "name");
+    route.host = host;
+    route.pathPrefix = text(at(rule, "match"), "path-prefix");
+    route.kind = readKind(rule);
+    route.objective = span(rule, "latency-slo");
+    route.timeout = span(action, "timeout");
+    route.attempts = std::max<std::uint32_t>(1, number<std::uint32_t>(action, "attempts"));
+    route.priority = rule.contains("priority") ? number<std::uint32_t>(rule, "priority") : 0;
+    route.split = readSplit(action);
+    return route;
+}
+
+state::gateway::service readService(const json& from)
+{
+    state::gateway::service service;
+    service.name = text(from, "name");
+    service.healthPath = text(from, "health-path");
+    service.maxConnections = number<std::uint32_t>(from, "max-conns");
+    service.coldStart = spanOrZero(from, "cold-start");
+    service.coldRequestsPerSecond = from.contains("cold-per-s") ? number<double>(from, "cold-per-s") : 0;
+    return service;
+}
+
+state::gateway::caller_limits readLimits(const json& from)
+{
+    state::gateway::caller_limits limits;
+    limits.headerBytes = number<std::uint64_t>(from, "max-header-bytes");
+    limits.bodyBytes = number<std::uint64_t>(from, "max-body-bytes");
+    limits.headerTimeout = span(from, "header-timeout");
+    limits.idleTimeout = span(from, "idle-timeout");
+    return limits;
+}
+
+std::uint32_t readVersion(const json& from)
+{
+    const auto version = text(from, "version");
+    std::size_t used = 0;
+    const auto number = std::stoul(version, &used, hexadecimal);
+    if (used != version.size())
+        throw field_error { "version" };
+    return static_cast<std::uint32_t>(number);
+}
+
+configuration readWhole(const json& from)
+{
+    configuration config;
+    config.version = readVersion(from);
+    config.limits = readLimits(at(from, "limits"));
+    for (const auto& listener : at(from, "listeners")) {
+        const auto host = text(listener, "host");
+        for (const auto& rule : at(listener, "rules"))
+            config.routes.push_back(readRoute(host, rule));
+    }
+    for (const auto& service : at(from, "clusters"))
+        config.services.push_back(readService(service));
+    return config;
+}
+
+template <typename Read> auto readChecked(std::string_view what, const Read& read) -> absl::StatusOr<decltype(read())>
+{
+    try {
+        return read();
+    } catch (const field_error& error) {
+        return absl::InvalidArgumentError(
+            fmt::format("{}: field '{}' is missing or of another type", what, error.field));
+    } catch (const std::exception& error) { // of the JSON library, and of std::stoul
+        return absl::InvalidArgumentError(fmt::format("{}: {}", what, error.what()));
+    }
+}
+
+} // namespace
+
+absl::StatusOr<server_entry> readServerEntry(const std::string& id, const std::string& text)
+{
+    return readChecked("server " + id, [&] { return readEntry(id, json::parse(text)); });
+}
+
+absl::StatusOr<configuration> readConfiguration(const std::string& text)
+{
+    return readChecked("configuration", [&] { return readWhole(json::parse(text)); });
+}
+
+namespace {
+
+absl::Status addServer(const std::string& id, state::revision number, const std::optional<std::string>& text,
+    state::gateway::published_fleet& to)
+{
+    auto& item = to.servers[id];
+    item = { number, std::nullopt };
+    if (!text)
+        return absl::OkStatus();
+    auto entry = readServerEntry(id, *text);
+    if (!entry.ok())
+        return entry.status();
+    item.value = *std::move(entry);
+    return absl::OkStatus();
+}
+
+absl::Status addConfiguration(
+    state::revision number, const std::optional<std::string>& text, state::gateway::published_fleet& to)
+{
+    if (!text)
+        return absl::OkStatus(); // the one in force stays
+    auto config = readConfiguration(*text);
+    if (!config.ok())
+        return config.status();
+    to.config = { number, *std::move(config) };
+    return absl::OkStatus();
+}
+
+} // namespace
+
+absl::Status addItem(const json& item, state::gateway::published_fleet& to)
+{
+    try {
+        const auto key = text(item, "key");
+        const auto revision = number<state::revision>(item, "revision");
+        std::optional<std::string> value;
+        // A removal has the field "compacted" in place of a value.
+        if (item.contains("value") && !absl::Base64Unescape(text(item, "value"), &value.emplace()))
+            throw field_error { "value" };
+        if (key.starts_with(serverPrefix))
+            return addServer(key.substr(serverPrefix.size()), revision, value, to);
+        if (key == configurationKey)
+            return addConfiguration(revision, value, to);
+        if (key.starts_with(evacuationPrefix)) {
+            auto& evacuation = to.evacuations[key.substr(evacuationPrefix.size())];
+            evacuation.number = revision;
+            evacuation.value = value ? std::optional(state::gateway::evacuation {}) : std::nullopt;
+        }
+        return absl::OkStatus();
+    } catch (const field_error& error) {
+        return absl::InvalidArgumentError(
+            fmt::format("an item of the store: field '{}' is missing or of another type", error.field));
+    }
+}
+
+} // namespace acaciaslip::platform
--- /dev/null
+++ b/src/protocol/gateway_dump.cpp
@@ -0,0 +1,73 @@
+#include "protocol/gateway_dump.hpp"
+
+#include "coordination/gateway/server_health.hpp"
+
+namespace acaciaslip::protocol {
+
+namespace {
+
+using nlohmann::json;
+
+double milliseconds(state::duration span)
+{
+    return state::toMilliseconds(span);
+}
+
+json describeServer(const state::gateway::server_state& server, state::time_point now)
+{
+    json described { { "id", server.entry.id }, { "service", server.entry.service },
+        { "address", server.entry.address }, { "data_centre", server.entry.dataCentre },
+        { "slots", server.entry.slots }, { "draining", server.entry.draining }, { "evacuated", server.evacuated },
+        { "revision", server.number }, { "own_running", server.ownRunning },
+        { "slowness", coordination::gateway::currentSlowness(server, now) },
+        { "failure_share", coordination::gateway::currentFailureShare(server, now) } };
+    if (now < server.coldUntil)
+        described["cold_for_ms"] = milliseconds(server.coldUntil - now);
+    if (server.avoidUntil && now < *server.avoidUntil)
+        described["avoided_for_ms"] = milliseconds(*server.avoidUntil - now);
+    if (server.goneAt)
+        described["unregistered"] = true;
+    if (server.report)
+        described["report"] = { { "running", server.report->running }, { "waiting", server.report->waiting },
+            { "slots", server.report->slots }, { "slowdown", server.report->slowdown },
+            { "age_ms", milliseconds(now - server.report->heardAt) } };
+    return described;
+}
+
+json describeRoute(const state::gateway::route& route)
+{
+    json parts = json::array();
+    for (const auto& part : route.split)
+        parts.push_back({ { "service", part.service }, { "weight", part.weight } });
+    return { { "name", route.name }, { "host", route.host }, { "path_prefix", route.pathPrefix },
+        { "kind", state::findName(state::gateway::requestKindNames, route.kind) },
+        { "objective_ms", milliseconds(route.objective) }, { "timeout_ms", milliseconds(route.timeout) },
+        { "attempts", route.attempts }, { "split", parts } };
+}
+
+} // namespace
+
+json describeGateway(const coordination::gateway::node& node, state::time_point now)
+{
+    json described { { "id", node.settings.id }, { "data_centre", node.settings.dataCentre },
+        { "phase", state::findName(coordination::gateway::nodePhaseNames, node.phase) },
+        { "revision", node.published.asOf }, { "hosts", node.share.hosts }, { "rank", node.share.rank },
+        { "requests_in_progress", node.requests.size() }, { "servers", json::array() }, { "routes", json::array() },
+        { "evacuations", json::array() } };
+    described["configuration_version"] = node.config ? node.config->version : 0;
+    if (node.storeLostAt)
+        described["store_lost_for_ms"] = milliseconds(now - *node.storeLostAt);
+    for (const auto& [id, server] : node.servers)
+        described["servers"].push_back(describeServer(server, now));
+    if (node.config) {
+        for (const auto& route : node.config->routes)
+            described["routes"].push_back(describeRoute(route));
+    }
+    for (const auto& [dataCentre, item] : node.published.evacuations) {
+        if (item.value)
+            described["evacuations"].push_back(dataCentre);
+    }
+    return described;
+}
+
+} // namespace acaciaslip::protocol
--- /dev/null
+++ b/src/protocol/http/message.hpp
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace acaciaslip::protocol::http {
+
+/// One header field as it was sent.
+struct header_field {
+    std::string name;
+    std::string value;
+};
+
+/// One whole request or answer.
+struct message {
+    std::string method; ///< of a request
+    std::string target; ///< of a request: path and query as they were sent
+    int status = 0; ///< of an answer
+    std::string reason; ///< of an answer
+    std::vector<header_field> headers;
+    std::string body; ///< chunks put together
+    bool keepAlive = true; ///< the connection may carry another message
+    bool endsWithConnection = false; ///< the body's length was told by the end of the connection only
+    bool expectsContinue = false; ///< the sender waits for status 100 before it sends the body
+};
+
+/// Finds the first header of a name, whatever its case.
+[[nodiscard]] std::optional<std::string_view> findHeader(const message& from, std::string_view name) noexcept;
+
+/// Whether a header concerns one connection only, or tells the body's length, and is therefore not forwarded.
+[[nodiscard]] bool isConnectionHeader(std::string_view name) noexcept;
+
+/// The names that the Connection header lists beside the usual ones: those headers are not forwarded either.
+[[nodiscard]] std::vector<std::string_view> listedConnectionHeaders(const message& from);
+
+/// Compares header names.
+[[nodiscard]] bool isSameName(std::string_view left, std::string_view right) noexcept;
+
+/// The path of a target, without its query.
+[[nodiscard]] std::string_view pathOf(std::string_view target) noexcept;
+
+/// The value of a query's parameter, decoded of nothing.
+/// \return the value, or nothing when the target has no such parameter
+[[nodiscard]] std::optional<std::string_view> findParameter(std::string_view target, std::string_view name) noexcept;
+
+/// Appends "name: value" with its line end.
+void appendHeader(std::string& to, std::string_view name, std::string_view value);
+
+/// Writes an answer with a length and without any header but those that tell it.
+[[nodiscard]] std::string writeAnswer(int status, std::string_view contentType, std::string_view body, bool keepAlive);
+
+/// The standard's words for a status.
+[[nodiscard]] std::string_view reasonPhrase(int status) noexcept;
+
+} // namespace acaciaslip::protocol::http
--- /dev/null
+++ b/src/protocol/server_dialect.cpp
@@ -0,0 +1,139 @@
+#include "protocol/server_dialect.hpp"
+
+#include <algorithm>
+#include <charconv>
+
+#include <fmt/format.h>
+
+namespace acaciaslip::protocol {
+
+namespace {
+
+using coordination::gateway::ask_outcome;
+using http::findHeader;
+using http::isSameName;
+
+constexpr int statusOk = 200;
+constexpr int firstNoSuccess = 300;
+constexpr int statusMisdirected = 421;
+
+std::optional<state::gateway::load_report> readLoad(const server_dialect& dialect, const http::message& answer)
+{
+    const auto load = findHeader(answer, dialect.names.load);
+    return load && dialect.readLoad ? dialect.readLoad(*load) : std::nullopt;
+}
+
+state::duration readMilliseconds(std::optional<std::string_view> text)
+{
+    std::int64_t milliseconds = 0;
+    if (text)
+        std::from_chars(text->data(), text->data() + text->size(), milliseconds);
+    return std::chrono::milliseconds { std::max<std::int64_t>(milliseconds, 0) };
+}
+
+bool isListed(const std::vector<std::string_view>& names, std::string_view name)
+{
+    return std::any_of(names.begin(), names.end(), [&](std::string_view listed) { return isSameName(listed, name); });
+}
+
+void appendForwarded(std::string& to, const http::message& from, const std::vector<std::string_view>& replaced)
+{
+    const auto listed = http::listedConnectionHeaders(from);
+    for (const auto& header : from.headers) {
+        if (!http::isConnectionHeader(header.name) && !isListed(listed, header.name)
+            && !isListed(replaced, header.name))
+            http::appendHeader(to, header.name, header.value);
+    }
+}
+
+bool needsLength(const http::message& request)
+{
+    return !request.body.empty() || request.method == "POST" || request.method == "PUT" || request.method == "PATCH";
+}
+
+} // namespace
+
+bool answersRequest(const server_dialect& dialect, const http::message& answer, std::string_view id)
+{
+    const auto echoed = findHeader(answer, dialect.names.requestId);
+    return !echoed || *echoed == id;
+}
+
+bool answersQuestion(const server_dialect& dialect, const http::message& answer)
+{
+    return !findHeader(answer, dialect.names.requestId) && !findHeader(answer, dialect.names.signature);
+}
+
+coordination::gateway::ask_finished readAskAnswer(
+    const server_dialect& dialect, const http::message& answer, std::string_view server)
+{
+    coordination::gateway::ask_finished finished;
+    const auto id = findHeader(answer, dialect.names.serverId);
+    if (id && *id != server)
+        finished.outcome = ask_outcome::other_server;
+    else
+        finished.outcome = answer.status == statusOk ? ask_outcome::healthy : ask_outcome::unhealthy;
+    finished.report = readLoad(dialect, answer);
+    finished.coldLeft = readMilliseconds(findHeader(answer, dialect.names.coldFor));
+    return finished;
+}
+
+coordination::gateway::attempt_finished readAttemptAnswer(const server_dialect& dialect, const http::message& answer)
+{
+    coordination::gateway::attempt_finished finished;
+    finished.status = answer.status;
+    finished.serverLeaving = !answer.keepAlive;
+    finished.report = readLoad(dialect, answer);
+    const bool success = answer.status >= statusOk && answer.status < firstNoSuccess;
+    const bool isSigned = findHeader(answer, dialect.names.signature).has_value();
+    const bool hasId = findHeader(answer, dialect.names.requestId).has_value();
+    if (findHeader(answer, dialect.names.notRun) || answer.status == statusMisdirected)
+        finished.outcome = state::attempt_outcome::shed;
+    else if (!hasId || findHeader(answer, "Content-Encoding")
+        || (success && dialect.successNeedsSignature && !isSigned))
+        finished.outcome = state::attempt_outcome::mismatched;
+    else
+        finished.outcome = state::attempt_outcome::answered;
+    return finished;
+}
+
+std::string writeQuestion(std::string_view healthPath, std::string_view address)
+{
+    return fmt::format("GET {} HTTP/1.1\r\nHost: {}\r\n\r\n", healthPath, address);
+}
+
+std::string writeServerRequest(
+    const server_dialect& dialect, const http::message& request, std::string_view server, std::int64_t milliseconds)
+{
+    std::string written = fmt::format("{} {} HTTP/1.1\r\n", request.method, request.target);
+    written.reserve(written.size() + request.body.size() + 512); // NOLINT: room for usual headers
+    appendForwarded(written, request, { dialect.names.timeout, dialect.names.expectedServer, "Expect" });
+    http::appendHeader(written, dialect.names.timeout, std::to_string(milliseconds));
+    http::appendHeader(written, dialect.names.expectedServer, server);
+    if (needsLength(request))
+        http::appendHeader(written, "Content-Length", std::to_string(request.body.size()));
+    written.append("\r\n").append(request.body);
+    return written;
+}
+
+std::string writeCallerAnswer(const http::message& answer, bool toHead, bool keepAlive)
+{
+    constexpr int noContent = 204;
+    constexpr int notModified = 304;
+    std::string written = fmt::format("HTTP/1.1 {} {}\r\n", answer.status, answer.reason);
+    written.reserve(written.size() + answer.body.size() + 512); // NOLINT: room for usual headers
+    appendForwarded(written, answer, {});
+    const auto told = findHeader(answer, "Content-Length");
+    if (toHead && told)
+        http::appendHeader(written, "Content-Length", *told);
+    else if (!toHead && answer.status != noContent && answer.status != notModified)
+        http::appendHeader(written, "Content-Length", std::to_string(answer.body.size()));
+    if (!keepAlive)
+        http::appendHeader(written, "Connection", "close");
+    written.append("\r\n");
+    if (!toHead)
+        written.append(answer.body);
+    return written;
+}
+
+} // namespace acaciaslip::protocol
--- /dev/null
+++ b/src/transport/loop/caller_edge.cpp
@@ -0,0 +1,159 @@
+#include "transport/loop/caller_edge.hpp"
+
+#include <charconv>
+#include <utility>
+
+#include <fmt/format.h>
+
+namespace acaciaslip::transport::loop {
+
+namespace {
+
+constexpr int statusNotFound = 404;
+constexpr int statusBadGateway = 502;
+constexpr int statusUnavailable = 503;
+constexpr int statusGatewayTimeout = 504;
+
+std::optional<state::duration> readWait(std::optional<std::string_view> text)
+{
+    if (!text)
+        return std::nullopt;
+    std::int64_t milliseconds = 0;
+    const auto [end, problem] = std::from_chars(text->data(), text->data() + text->size(), milliseconds);
+    if (problem != std::errc {} || milliseconds < 0)
+        return std::nullopt;
+    return std::chrono::milliseconds { milliseconds };
+}
+
+std::string_view withoutPort(std::string_view host) noexcept
+{
+    return host.substr(0, host.rfind(':'));
+}
+
+/// A refusal that says "not run" by its status must be true, so any other verdict gets another status.
+int statusFor(const coordination::gateway::refuse_caller& refusal) noexcept
+{
+    if (refusal.reason == state::refusal_reason::no_route)
+        return statusNotFound;
+    if (refusal.outcome == state::verdict::not_run)
+        return statusUnavailable;
+    return refusal.reason == state::refusal_reason::deadline_exceeded ? statusGatewayTimeout : statusBadGateway;
+}
+
+} // namespace
+
+caller_edge::caller_edge(uv_loop_t* loop, const protocol::server_dialect& dialect, event_sink sink)
+    : m_dialect(dialect)
+    , m_sink(std::move(sink))
+    , m_listener(loop, [this](uv_stream_t* listener) { accept(listener); })
+{
+}
+
+absl::Status caller_edge::listen(const std::string& address)
+{
+    return m_listener.listen(address);
+}
+
+void caller_edge::accept(uv_stream_t* listener)
+{
+    const auto holder = std::make_shared<std::weak_ptr<caller_connection>>();
+    caller_callbacks callbacks;
+    callbacks.number = [this] { return state::request_id { m_nextRequest++ }; };
+    callbacks.arrived = [this, holder](state::request_id id, protocol::http::message request) {
+        noteArrived(*holder, id, std::move(request));
+    };
+    callbacks.gone = [this](state::request_id id) {
+        if (m_requests.erase(static_cast<std::uint64_t>(id)) > 0)
+            m_sink(coordination::gateway::caller_gone { id });
+    };
+    callbacks.closed = [this, holder] {
+        if (const auto connection = holder->lock())
+            m_connections.erase(connection);
+    };
+    const auto connection = caller_connection::accept(listener, m_limits, std::move(callbacks));
+    if (!connection)
+        return;
+    *holder = connection;
+    m_connections.insert(connection);
+}
+
+void caller_edge::noteArrived(
+    const std::weak_ptr<caller_connection>& from, state::request_id id, protocol::http::message request)
+{
+    coordination::gateway::request_arrived arrived;
+    arrived.id = id;
+    arrived.callerRequestId = protocol::http::findHeader(request, m_dialect.names.requestId).value_or("");
+    arrived.host = withoutPort(protocol::http::findHeader(request, "Host").value_or(""));
+    arrived.path = protocol::http::pathOf(request.target);
+    arrived.callerWaits = readWait(protocol::http::findHeader(request, m_dialect.names.timeout));
+    m_requests[static_cast<std::uint64_t>(id)] = { std::move(request), from };
+    m_sink(std::move(arrived));
+}
+
+const protocol::http::message* caller_edge::findRequest(state::request_id id) const
+{
+    const auto found = m_requests.find(static_cast<std::uint64_t>(id));
+    return found == m_requests.end() ? nullptr : &found->second.request;
+}
+
+void caller_edge::answer(const coordination::gateway::answer_caller& wanted, const protocol::http::message& answer)
+{
+    const auto* request = findRequest(wanted.id);
+    if (request == nullptr)
+        return;
+    const bool close = wanted.closeConnection || !request->keepAlive;
+    finish(wanted.id, protocol::writeCallerAnswer(answer, request->method == "HEAD", !close), close);
+}
+
+void caller_edge::refuse(const coordination::gateway::refuse_caller& wanted)
+{
+    const auto* request = findRequest(wanted.id);
+    if (request == nullptr)
+        return;
+    const bool close = wanted.closeConnection || !request->keepAlive;
+    protocol::http::message refusal;
+    refusal.status = statusFor(wanted);
+    refusal.reason = protocol::http::reasonPhrase(refusal.status);
+    if (const auto id = protocol::http::findHeader(*request, m_dialect.names.requestId))
+        refusal.headers.push_back({ m_dialect.names.requestId, std::string(*id) });
+    if (wanted.retryAfter > state::duration::zero())
+        refusal.headers.push_back(
+            { "Retry-After", fmt::format("{:.3f}", std::chrono::duration<double>(wanted.retryAfter).count()) });
+    finish(wanted.id, protocol::writeCallerAnswer(refusal, request->method == "HEAD", !close), close);
+}
+
+void caller_edge::finish(state::request_id id, std::string bytes, bool close)
+{
+    const auto found = m_requests.find(static_cast<std::uint64_t>(id));
+    const auto connection = found->second.connection.lock();
+    m_requests.erase(found);
+    if (connection)
+        connection->answer(id, std::move(bytes), close);
+}
+
+void caller_edge::leave()
+{
+    m_leaving = true;
+    const auto connections = m_connections;
+    for (const auto& connection : connections)
+        connection->leave();
+}
+
+bool caller_edge::isQuiet() const
+{
+    for (const auto& connection : m_connections) {
+        if (!connection->isQuiet())
+            return false;
+    }
+    return true;
+}
+
+void caller_edge::close()
+{
+    m_listener.close();
+    const auto connections = m_connections;
+    for (const auto& connection : connections)
+        connection->close();
+}
+
+} // namespace acaciaslip::transport::loop
--- /dev/null
+++ b/src/transport/loop/gateway_daemon.hpp
@@ -0,0 +1,105 @@
+#pragma once
+
+#include "coordination/gateway/node.hpp"
+#include "protocol/server_dialect.hpp"
+#include "transport/loop/caller_edge.hpp"
+#include "transport/loop/gateway_metrics.hpp"
+#include "transport/loop/http_service.hpp"
+#include "transport/loop/log_writer.hpp"
+#include "transport/loop/server_links.hpp"
+#include "transport/loop/timer.hpp"
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <absl/status/status.h>
+#include <uv.h>
+
+namespace acaciaslip::transport::loop {
+
+/// What a gateway process is given.
+struct gateway_settings {
+    coordination::gateway::node_settings node;
+    protocol::server_dialect dialect;
+    std::string callers; ///< "ip:port" that callers reach
+    std::string health; ///< "ip:port" where the platform's balancer asks whether the node is ready
+    std::string operators; ///< "ip:port" for metrics, dumps and other nodes; empty: none
+    coordination::log_level lowestLevel = coordination::log_level::info;
+};
+
+/// One gateway process: a loop that turns what happens on sockets into events of the node, and the node's effects into
+/// bytes.
+class gateway_daemon {
+public:
+    /// Answers a request on the operators' address that the daemon does not know itself; nothing: 404.
+    using operators_extension = std::function<std::optional<service_answer>(const protocol::http::message&)>;
+
+    explicit gateway_daemon(gateway_settings settings);
+    ~gateway_daemon();
+    gateway_daemon(const gateway_daemon&) = delete;
+    gateway_daemon& operator=(const gateway_daemon&) = delete;
+
+    /// Listens on every address.
+    [[nodiscard]] absl::Status start();
+
+    /// Runs until the node has stopped.
+    void run();
+
+    /// Hands an event to the node, now or after the one that is being handled.
+    void post(coordination::gateway::event happened);
+
+    void log(const coordination::log_event& event) { m_log.write(event); }
+    void setOperatorsExtension(operators_extension extension) { m_extension = std::move(extension); }
+    void setMoreGauges(std::function<void(loop_gauges&)> gauges) { m_moreGauges = std::move(gauges); }
+    /// Called before the loop ends, for parts that hold handles of it.
+    void setClosing(std::function<void()> closing) { m_closing = std::move(closing); }
+    void setBounds(const coordination::gateway::fleet_bounds& bounds) { m_node.settings.bounds = bounds; }
+
+    [[nodiscard]] uv_loop_t* loop() noexcept { return &m_loop; }
+    [[nodiscard]] const coordination::gateway::node& node() const noexcept { return m_node; }
+    [[nodiscard]] int callersPort() const { return m_parts->callers.port(); }
+    [[nodiscard]] int operatorsPort() const { return m_parts->operators.port(); }
+
+private:
+    struct parts {
+        parts(gateway_daemon& owner, const protocol::server_dialect& dialect);
+
+        caller_edge callers;
+        server_links servers;
+        http_service health;
+        http_service operators;
+        timer wakeUp;
+        timer exit;
+    };
+
+    void handleQueued();
+    void carryOut(coordination::gateway::effect& wanted);
+    void applyChanges();
+    void scheduleWakeUp();
+    void finishWhenQuiet();
+    void close();
+    service_answer answerOperator(const protocol::http::message& request);
+
+    gateway_settings m_settings;
+    uv_loop_t m_loop {};
+    uv_prepare_t m_prepare {};
+    coordination::gateway::node m_node;
+    coordination::random_generator m_random;
+    log_writer m_log;
+    std::deque<coordination::gateway::event> m_queue;
+    coordination::gateway::effect_list m_effects;
+    operators_extension m_extension;
+    std::function<void(loop_gauges&)> m_moreGauges;
+    std::function<void()> m_closing;
+    std::unique_ptr<parts> m_parts;
+    std::optional<state::time_point> m_wakeUpAt;
+    const state::gateway::configuration* m_appliedConfig = nullptr;
+    bool m_handling = false;
+    bool m_left = false;
+    bool m_stopped = false;
+    state::time_point m_stoppedAt;
+};
+
+} // namespace acaciaslip::transport::loop
--- /dev/null
+++ b/src/transport/loop/gateway_metrics.cpp
@@ -0,0 +1,75 @@
+#include "transport/loop/gateway_metrics.hpp"
+
+#include "transport/metric_families.hpp"
+
+#include <prometheus/text_serializer.h>
+
+namespace acaciaslip::transport::loop {
+
+namespace {
+
+using prometheus::MetricFamily;
+using prometheus::MetricType;
+
+void addRequests(std::vector<MetricFamily>& families, const coordination::gateway::node_counters& counters)
+{
+    families.push_back(makeCounters("acaciaslip_requests_total", "Requests ended, by verdict", "verdict",
+        counters.requestsByVerdict, state::verdictNames));
+    families.push_back(makeHistograms("acaciaslip_request_duration_seconds",
+        "Time from the whole request read to its outcome, by verdict", "verdict", counters.durationByVerdict,
+        state::verdictNames));
+    families.push_back(makeCounters("acaciaslip_refusals_total", "Requests not given a server's answer, by reason",
+        "reason", counters.refusals, state::refusalReasonNames));
+    families.push_back(makeCounters("acaciaslip_attempts_total", "Attempts ended, by outcome", "outcome",
+        counters.attemptsByOutcome, state::attemptOutcomeNames));
+    families.push_back(makeCounters("acaciaslip_load_questions_total", "Questions about load ended, by outcome",
+        "outcome", counters.asksByOutcome, coordination::gateway::askOutcomeNames));
+    families.push_back(makeCounter("acaciaslip_retries_total", "Sends after a failed first one", counters.retries));
+    families.push_back(makeCounter("acaciaslip_hedges_total", "Sends beside a slow first one", counters.hedges));
+    families.push_back(
+        makeCounter("acaciaslip_repeats_denied_total", "Repeats that the budget denied", counters.repeatsDenied));
+    families.push_back(makeCounter("acaciaslip_callers_gone_total", "Callers that left early", counters.callersGone));
+}
+
+void addFleet(std::vector<MetricFamily>& families, const coordination::gateway::node& node, state::time_point now)
+{
+    auto servers = makeFamily("acaciaslip_servers", "Registered servers by service", MetricType::Gauge);
+    for (const auto& [name, service] : node.services)
+        addMetric(servers, { { "service", name } }, static_cast<double>(service.members.size()));
+    families.push_back(std::move(servers));
+    families.push_back(makeGauge(
+        "acaciaslip_configuration_version", "Version in force, 0 for none", node.config ? node.config->version : 0));
+    families.push_back(makeGauge("acaciaslip_fleet_revision", "Revision up to which the published fleet is known",
+        static_cast<double>(node.published.asOf)));
+    const double away = node.storeLostAt ? std::chrono::duration<double>(now - *node.storeLostAt).count() : 0;
+    families.push_back(makeGauge("acaciaslip_store_away_seconds", "Time without the store, 0 while it answers", away));
+    families.push_back(
+        makeCounter("acaciaslip_store_losses_total", "Times the store was lost", node.counters.storeLosses));
+    families.push_back(makeGauge("acaciaslip_hosts", "Entry hosts that share the budgets", node.share.hosts));
+    families.push_back(makeGauge("acaciaslip_requests_in_progress", "Requests that callers wait for",
+        static_cast<double>(node.requests.size())));
+    auto phase = makeFamily("acaciaslip_phase", "1 for the phase that the node is in", MetricType::Gauge);
+    for (const auto& row : coordination::gateway::nodePhaseNames)
+        addMetric(phase, { { "phase", std::string(row.name) } }, row.value == node.phase ? 1 : 0);
+    families.push_back(std::move(phase));
+}
+
+} // namespace
+
+std::string writeGatewayMetrics(
+    const coordination::gateway::node& node, const loop_gauges& gauges, state::time_point now)
+{
+    std::vector<MetricFamily> families;
+    addRequests(families, node.counters);
+    addFleet(families, node, now);
+    families.push_back(
+        makeCounter("acaciaslip_connections_opened_total", "Connections opened to servers", gauges.connectionsOpened));
+    families.push_back(makeCounter(
+        "acaciaslip_log_lines_dropped_total", "Log lines that nobody read in time", gauges.logLinesDropped));
+    families.push_back(makeCounter("acaciaslip_store_calls_total", "Calls to the store", gauges.storeCalls));
+    families.push_back(
+        makeGauge("acaciaslip_peers_heard", "Other entry hosts heard lately", static_cast<double>(gauges.peersHeard)));
+    return prometheus::TextSerializer().Serialize(families);
+}
+
+} // namespace acaciaslip::transport::loop
--- /dev/null
+++ b/src/transport/loop/gateway_metrics.hpp
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "coordination/gateway/node.hpp"
+
+#include <cstdint>
+#include <string>
+
+namespace acaciaslip::transport::loop {
+
+/// What is measured around the node, outside its decisions.
+struct loop_gauges {
+    std::uint64_t connectionsOpened = 0; ///< to servers
+    std::uint64_t logLinesDropped = 0;
+    std::uint64_t storeCalls = 0;
+    std::uint64_t peersHeard = 0;
+};
+
+/// Writes every metric as Prometheus text.
+[[nodiscard]] std::string writeGatewayMetrics(
+    const coordination::gateway::node& node, const loop_gauges& gauges, state::time_point now);
+
+} // namespace acaciaslip::transport::loop
--- /dev/null
+++ b/src/transport/loop/log_writer.cpp
@@ -0,0 +1,57 @@
+#include "transport/loop/log_writer.hpp"
+
+#include "transport/logger.hpp"
+
+#include <cerrno>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+namespace acaciaslip::transport::loop {
+
+namespace {
+
+constexpr std::size_t mostPendingBytes = 131072; ///< some hundred lines: a reader may stall for a moment
+
+} // namespace
+
+log_writer::log_writer(int descriptor, coordination::log_level lowest)
+    : m_descriptor(descriptor)
+    , m_lowest(lowest)
+{
+    const int flags = ::fcntl(descriptor, F_GETFL);
+    if (flags >= 0)
+        (void)::fcntl(descriptor, F_SETFL, flags | O_NONBLOCK); // a file cannot be, and does not block
+}
+
+void log_writer::write(const coordination::log_event& event)
+{
+    if (event.level < m_lowest)
+        return;
+    if (m_pending.size() >= mostPendingBytes) {
+        ++m_dropped;
+        return;
+    }
+    if (m_dropped > m_droppedTold) {
+        const auto lost = m_dropped - m_droppedTold;
+        m_droppedTold = m_dropped;
+        write({ coordination::log_level::warning, "log_lines_dropped", { { "lines", std::to_string(lost) } } });
+    }
+    m_pending += formatLogLine(event, std::chrono::system_clock::now());
+    m_pending += '\n';
+}
+
+void log_writer::flush()
+{
+    while (!m_pending.empty()) {
+        const auto written = ::write(m_descriptor, m_pending.data(), m_pending.size());
+        if (written > 0)
+            m_pending.erase(0, static_cast<std::size_t>(written));
+        else if (errno == EAGAIN)
+            return; // the reader is slow: the next flush tries again
+        else if (errno != EINTR)
+            return m_pending.clear(); // nobody reads any more
+    }
+}
+
+} // namespace acaciaslip::transport::loop
--- /dev/null
+++ b/src/transport/loop/tcp_stream.cpp
@@ -0,0 +1,247 @@
+#include "transport/loop/tcp_stream.hpp"
+
+#include <array>
+#include <utility>
+
+#include <fmt/format.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace acaciaslip::transport::loop {
+
+namespace {
+
+constexpr std::size_t readBytes = 65536;
+/// A silent peer is noticed after the first probe and two more: within three seconds, as a lost machine must be.
+constexpr int probeIdleSeconds = 1;
+constexpr int probeIntervalSeconds = 1;
+constexpr int probeCount = 2;
+constexpr state::duration longestLinger = std::chrono::seconds { 1 }; ///< for the peer to close after our end
+constexpr unsigned int unackedMilliseconds = 3000; ///< likewise while bytes are under way
+
+/// One buffer for all reads: a loop reads one stream at a time, and owners copy what they keep.
+std::array<char, readBytes>& sharedReadBuffer()
+{
+    static std::array<char, readBytes> buffer;
+    return buffer;
+}
+
+void allocate(uv_handle_t* /*handle*/, std::size_t /*suggested*/, uv_buf_t* buffer)
+{
+    auto& shared = sharedReadBuffer();
+    *buffer = uv_buf_init(shared.data(), static_cast<unsigned int>(shared.size()));
+}
+
+template <typename Value> void setOption(int socket, int level, int name, Value value)
+{
+    // A socket without the option works, only notices a lost peer later.
+    (void)::setsockopt(socket, level, name, &value, sizeof value);
+}
+
+std::shared_ptr<tcp_stream>& selfOf(void* data)
+{
+    return *static_cast<std::shared_ptr<tcp_stream>*>(data);
+}
+
+} // namespace
+
+/// One write that is under way.
+struct tcp_stream::write_request {
+    uv_write_t request {};
+    std::string bytes;
+};
+
+absl::StatusOr<sockaddr_in> parseAddress(const std::string& text)
+{
+    const auto colon = text.rfind(':');
+    sockaddr_in address {};
+    if (colon == std::string::npos)
+        return absl::InvalidArgumentError(fmt::format("'{}' is no address: write IP:PORT", text));
+    const auto port = std::atoi(text.c_str() + colon + 1); // NOLINT(cert-err34-c): 0 is refused below
+    constexpr int mostPort = 65535;
+    if (port <= 0 || port > mostPort || uv_ip4_addr(text.substr(0, colon).c_str(), port, &address) != 0)
+        return absl::InvalidArgumentError(fmt::format("'{}' is no address: write IP:PORT", text));
+    return address;
+}
+
+tcp_stream::tcp_stream(uv_loop_t* loop, stream_callbacks callbacks)
+    : m_handle(new uv_tcp_t {})
+    , m_callbacks(std::move(callbacks))
+{
+    uv_tcp_init(loop, m_handle);
+}
+
+tcp_stream::~tcp_stream() = default;
+
+std::shared_ptr<tcp_stream> tcp_stream::connect(uv_loop_t* loop, const sockaddr_in& to, stream_callbacks callbacks)
+{
+    auto made = std::shared_ptr<tcp_stream>(new tcp_stream(loop, std::move(callbacks)));
+    made->m_handle->data = new std::shared_ptr<tcp_stream>(made);
+    auto* request = new uv_connect_t {};
+    const int status = uv_tcp_connect(
+        request, made->m_handle, reinterpret_cast<const sockaddr*>(&to), [](uv_connect_t* done, int result) {
+            auto* const handle = done->handle;
+            delete done;
+            if (result == UV_ECANCELED)
+                return;
+            const auto self = selfOf(handle->data);
+            if (result != 0)
+                return self->fail(result);
+            self->setOptions();
+            if (!self->m_closed && self->m_callbacks.connected)
+                self->m_callbacks.connected();
+        });
+    if (status != 0) {
+        delete request;
+        made->close();
+    }
+    return made;
+}
+
+std::shared_ptr<tcp_stream> tcp_stream::accept(uv_stream_t* listener, stream_callbacks callbacks)
+{
+    auto made = std::shared_ptr<tcp_stream>(new tcp_stream(listener->loop, std::move(callbacks)));
+    made->m_handle->data = new std::shared_ptr<tcp_stream>(made);
+    if (uv_accept(listener, reinterpret_cast<uv_stream_t*>(made->m_handle)) != 0) {
+        made->close();
+        return nullptr;
+    }
+    made->setOptions();
+    return made;
+}
+
+void tcp_stream::setOptions()
+{
+    uv_tcp_nodelay(m_handle, 1);
+    uv_os_fd_t socket = -1;
+    if (uv_fileno(reinterpret_cast<uv_handle_t*>(m_handle), &socket) != 0)
+        return;
+    setOption(socket, SOL_SOCKET, SO_KEEPALIVE, 1);
+    setOption(socket, IPPROTO_TCP, TCP_KEEPIDLE, probeIdleSeconds);
+    setOption(socket, IPPROTO_TCP, TCP_KEEPINTVL, probeIntervalSeconds);
+    setOption(socket, IPPROTO_TCP, TCP_KEEPCNT, probeCount);
+    setOption(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, unackedMilliseconds);
+}
+
+void tcp_stream::startReading()
+{
+    if (m_closed)
+        return;
+    uv_read_start(reinterpret_cast<uv_stream_t*>(m_handle), allocate,
+        [](uv_stream_t* stream, ssize_t count, const uv_buf_t* buffer) {
+            const auto self = selfOf(stream->data);
+            if (self->m_closed || count == 0)
+                return;
+            if (count == UV_EOF)
+                return self->m_callbacks.ended();
+            if (count < 0)
+                return self->fail(static_cast<int>(count));
+            self->m_callbacks.received({ buffer->base, static_cast<std::size_t>(count) });
+        });
+}
+
+void tcp_stream::stopReading()
+{
+    if (!m_closed)
+        uv_read_stop(reinterpret_cast<uv_stream_t*>(m_handle));
+}
+
+void tcp_stream::write(std::string bytes)
+{
+    if (m_closed || bytes.empty())
+        return;
+    if (m_unwritten == 0) {
+        const auto buffer = uv_buf_init(bytes.data(), static_cast<unsigned int>(bytes.size()));
+        const int written = uv_try_write(reinterpret_cast<uv_stream_t*>(m_handle), &buffer, 1);
+        if (written == static_cast<int>(bytes.size()))
+            return;
+        // An error is told by the write below, after this call has returned.
+        if (written > 0)
+            bytes.erase(0, static_cast<std::size_t>(written));
+    }
+    auto* const pending = new write_request { {}, std::move(bytes) };
+    m_unwritten += pending->bytes.size();
+    pending->request.data = pending;
+    const auto buffer = uv_buf_init(pending->bytes.data(), static_cast<unsigned int>(pending->bytes.size()));
+    const int status = uv_write(
+        &pending->request, reinterpret_cast<uv_stream_t*>(m_handle), &buffer, 1, [](uv_write_t* request, int result) {
+            auto* const done = static_cast<write_request*>(request->data);
+            const auto self = selfOf(request->handle->data);
+            const auto size = done->bytes.size();
+            delete done;
+            self->noteWritten(size, result);
+        });
+    if (status != 0) { // only for a stream that is not connected: what was to be written is lost with it
+        m_unwritten -= pending->bytes.size();
+        delete pending;
+    }
+}
+
+void tcp_stream::noteWritten(std::size_t bytes, int status)
+{
+    m_unwritten -= bytes;
+    if (m_closed)
+        return;
+    if (status != 0)
+        return fail(status);
+    if (m_unwritten > 0)
+        return;
+    if (m_ending)
+        return end();
+    if (m_callbacks.drained)
+        m_callbacks.drained();
+}
+
+void tcp_stream::closeWhenWritten()
+{
+    if (m_closed)
+        return;
+    m_ending = true;
+    if (m_unwritten == 0)
+        end();
+}
+
+void tcp_stream::end()
+{
+    // Closing with unread bytes would reset the connection and take from the peer what it has not read yet.
+    m_linger = std::make_unique<timer>(m_handle->loop, [self = shared_from_this()] { self->close(); });
+    m_linger->start(longestLinger);
+    m_callbacks = {};
+    m_callbacks.received = [](std::string_view) {};
+    m_callbacks.ended = [self = shared_from_this()] { self->close(); };
+    auto* const request = new uv_shutdown_t {};
+    const int status = uv_shutdown(
+        request, reinterpret_cast<uv_stream_t*>(m_handle), [](uv_shutdown_t* done, int /*status*/) { delete done; });
+    if (status != 0) {
+        delete request;
+        return close();
+    }
+    startReading();
+}
+
+void tcp_stream::close()
+{
+    if (std::exchange(m_closed, true))
+        return;
+    m_linger.reset();
+    uv_close(reinterpret_cast<uv_handle_t*>(m_handle), [](uv_handle_t* closed) {
+        auto* const self = static_cast<std::shared_ptr<tcp_stream>*>(closed->data);
+        // Callbacks may hold the owner, and the owner this stream.
+        (*self)->m_callbacks = {};
+        delete self;
+        delete reinterpret_cast<uv_tcp_t*>(closed);
+    });
+}
+
+void tcp_stream::fail(int problem)
+{
+    if (m_closed)
+        return;
+    const auto self = shared_from_this();
+    const auto failed = m_callbacks.failed;
+    close();
+    if (failed)
+        failed(problem);
+}
+
+} // namespace acaciaslip::transport::loop
--- /dev/null
+++ b/src/transport/metric_families.cpp
@@ -0,0 +1,68 @@
+#include "transport/metric_families.hpp"
+
+#include <limits>
+
+namespace acaciaslip::transport {
+
+namespace {
+
+using prometheus::ClientMetric;
+using prometheus::MetricFamily;
+using prometheus::MetricType;
+
+constexpr double millisecondsPerSecond = 1000;
+
+} // namespace
+
+MetricFamily makeFamily(const char* name, const char* help, MetricType type)
+{
+    MetricFamily family;
+    family.name = name;
+    family.help = help;
+    family.type = type;
+    return family;
+}
+
+void addMetric(MetricFamily& family, metric_labels names, double value)
+{
+    ClientMetric metric;
+    metric.label = std::move(names);
+    if (family.type == MetricType::Counter)
+        metric.counter.value = value;
+    else
+        metric.gauge.value = value;
+    family.metric.push_back(std::move(metric));
+}
+
+MetricFamily makeCounter(const char* name, const char* help, std::uint64_t value)
+{
+    auto family = makeFamily(name, help, MetricType::Counter);
+    addMetric(family, {}, static_cast<double>(value));
+    return family;
+}
+
+MetricFamily makeGauge(const char* name, const char* help, double value)
+{
+    auto family = makeFamily(name, help, MetricType::Gauge);
+    addMetric(family, {}, value);
+    return family;
+}
+
+void addHistogram(MetricFamily& family, metric_labels names, const state::duration_histogram& histogram)
+{
+    ClientMetric metric;
+    metric.label = std::move(names);
+    std::uint64_t count = 0;
+    for (std::size_t bucket = 0; bucket < histogram.counts.size(); ++bucket) {
+        count += histogram.counts[bucket];
+        const double bound = bucket < state::durationBounds.size()
+            ? state::toMilliseconds(state::durationBounds[bucket]) / millisecondsPerSecond
+            : std::numeric_limits<double>::infinity();
+        metric.histogram.bucket.push_back({ count, bound });
+    }
+    metric.histogram.sample_count = count;
+    metric.histogram.sample_sum = state::toMilliseconds(histogram.sum) / millisecondsPerSecond;
+    family.metric.push_back(std::move(metric));
+}
+
+} // namespace acaciaslip::transport
--- a/src/transport/metrics.cpp
+++ b/src/transport/metrics.cpp
@@ -1,6 +1,7 @@
 #include "transport/metrics.hpp"
 
-#include <limits>
+#include "transport/metric_families.hpp"
+
 #include <map>
 
 #include <prometheus/text_serializer.h>
@@ -9,61 +10,11 @@
 
 namespace {
 
-using prometheus::ClientMetric;
 using prometheus::MetricFamily;
 using prometheus::MetricType;
-using labels = std::vector<ClientMetric::Label>;
 
 constexpr double millisecondsPerSecond = 1000;
 
-MetricFamily makeFamily(const char* name, const char* help, MetricType type)
-{
-    MetricFamily family;
-    family.name = name;
-    family.help = help;
-    family.type = type;
-    return family;
-}
-
-void add(MetricFamily& family, labels names, double value)
-{
-    ClientMetric metric;
-    metric.label = std::move(names);
-    if (family.type == MetricType::Counter)
-        metric.counter.value = value;
-    else
-        metric.gauge.value = value;
-    family.metric.push_back(std::move(metric));
-}
-
-MetricFamily makeCounter(const char* name, const char* help, std::uint64_t value)
-{
-    auto family = makeFamily(name, help, MetricType::Counter);
-    add(family, {}, static_cast<double>(value));
-    return family;
-}
-
-MetricFamily makeGauge(const char* name, const char* help, double value)
-{
-    auto family = makeFamily(name, help, MetricType::Gauge);
-    add(family, {}, value);
-    return family;
-}
-
-/// One counter for each value of an enumeration, those never counted included.
-template <typename Enum, typename Table>
-MetricFamily makeCounters(const char* name, const char* help, const char* label,
-    const std::map<Enum, std::uint64_t>& counts, const Table& table)
-{
-    auto family = makeFamily(name, help, MetricType::Counter);
-    for (const auto& row : table) {
-        const auto found = counts.find(row.value);
-        add(family, { { label, std::string(row.name) } },
-            found == counts.end() ? 0.0 : static_cast<double>(found->second));
-    }
-    return family;
-}
-
 double ageSeconds(const protocol::node_snapshot& snapshot, state::time_point then)
 {
     return state::toMilliseconds(snapshot.takenAt - then) / millisecondsPerSecond;
@@ -101,33 +52,11 @@
     families.push_back(makeCounter("acaciaslip_pauses_total", "Pauses that made the picture suspect", counters.pauses));
 }
 
-void addDurations(std::vector<MetricFamily>& families, const coordination::node_counters& counters)
-{
-    auto family = makeFamily("acaciaslip_request_duration_seconds",
-        "Time from the whole request read to its outcome, by verdict", MetricType::Histogram);
-    for (const auto& [outcome, histogram] : counters.durationByVerdict) {
-        ClientMetric metric;
-        metric.label = { { "verdict", std::string(state::findName(state::verdictNames, outcome)) } };
-        std::uint64_t count = 0;
-        for (std::size_t bucket = 0; bucket < histogram.counts.size(); ++bucket) {
-            count += histogram.counts[bucket];
-            const double bound = bucket < state::durationBounds.size()
-                ? state::toMilliseconds(state::durationBounds[bucket]) / millisecondsPerSecond
-                : std::numeric_limits<double>::infinity();
-            metric.histogram.bucket.push_back({ count, bound });
-        }
-        metric.histogram.sample_count = count;
-        metric.histogram.sample_sum = state::toMilliseconds(histogram.sum) / millisecondsPerSecond;
-        family.metric.push_back(std::move(metric));
-    }
-    families.push_back(std::move(family));
-}
-
 void addPhase(std::vector<MetricFamily>& families, const protocol::node_snapshot& snapshot)
 {
     auto phase = makeFamily("acaciaslip_phase", "1 for the phase that the node is in", MetricType::Gauge);
     for (const auto& row : coordination::nodePhaseNames)
-        add(phase, { { "phase", std::string(row.name) } }, row.value == snapshot.phase ? 1 : 0);
+        addMetric(phase, { { "phase", std::string(row.name) } }, row.value == snapshot.phase ? 1 : 0);
     families.push_back(std::move(phase));
     families.push_back(makeGauge(
         "acaciaslip_picture_suspect", "1 while the picture may be old after a pause", snapshot.suspectSince ? 1 : 0));
@@ -141,10 +70,10 @@
     auto age = makeFamily("acaciaslip_value_age_seconds", "Time since the revision came into force", MetricType::Gauge);
     auto refused = makeFamily("acaciaslip_value_refused", "1 while a newer revision is refused", MetricType::Gauge);
     for (const auto& value : snapshot.values) {
-        add(revision, { { "key", value.key } }, static_cast<double>(value.number));
-        add(refused, { { "key", value.key } }, value.refused ? 1 : 0);
+        addMetric(revision, { { "key", value.key } }, static_cast<double>(value.number));
+        addMetric(refused, { { "key", value.key } }, value.refused ? 1 : 0);
         if (value.number > 0)
-            add(age, { { "key", value.key } }, ageSeconds(snapshot, value.receivedAt));
+            addMetric(age, { { "key", value.key } }, ageSeconds(snapshot, value.receivedAt));
     }
     families.push_back(std::move(revision));
     families.push_back(std::move(age));
@@ -194,26 +123,26 @@
     }
     const auto nameOf = [&](state::service_index index) {
         const auto& name = snapshot.services[index].settings.name;
-        return labels { { "team", name.team }, { "service", name.name } };
+        return metric_labels { { "team", name.team }, { "service", name.name } };
     };
     auto servers = makeFamily("acaciaslip_servers", "Servers by service and standing", MetricType::Gauge);
     for (const auto& [key, count] : standings) {
         auto names = nameOf(key.first);
         names.push_back({ "standing", std::string(key.second) });
-        add(servers, std::move(names), count);
+        addMetric(servers, std::move(names), count);
     }
     auto spent = makeFamily("acaciaslip_probes_spent_total", "Probes sent by this node", MetricType::Counter);
     auto allowed = makeFamily(
         "acaciaslip_probes_allowed_per_second", "Probes a second that this node may send", MetricType::Gauge);
     auto flight = makeFamily("acaciaslip_in_flight", "Attempts of this node in progress", MetricType::Gauge);
     for (const auto& [index, sum] : sums) {
-        add(spent, nameOf(index), sum.probes);
-        add(allowed, nameOf(index), sum.probesAllowed);
-        add(flight, nameOf(index), sum.inFlight);
+        addMetric(spent, nameOf(index), sum.probes);
+        addMetric(allowed, nameOf(index), sum.probesAllowed);
+        addMetric(flight, nameOf(index), sum.inFlight);
     }
     auto waiting = makeFamily("acaciaslip_waiting", "Requests waiting for a server", MetricType::Gauge);
     for (state::service_index index = 0; index < snapshot.services.size(); ++index)
-        add(waiting, nameOf(index), static_cast<double>(snapshot.services[index].waiting));
+        addMetric(waiting, nameOf(index), static_cast<double>(snapshot.services[index].waiting));
     for (auto* family : { &servers, &spent, &allowed, &flight, &waiting })
         families.push_back(std::move(*family));
 }
@@ -225,7 +154,9 @@
     std::vector<MetricFamily> families;
     addPhase(families, snapshot);
     addCounters(families, snapshot.counters);
-    addDurations(families, snapshot.counters);
+    families.push_back(makeHistograms("acaciaslip_request_duration_seconds",
+        "Time from the whole request read to its outcome, by verdict", "verdict", snapshot.counters.durationByVerdict,
+        state::verdictNames));
     addServers(families, snapshot);
     addValues(families, snapshot);
     addPeers(families, snapshot);
