Let hosts find each other, share budgets and relay the store

Cause: without knowing each other, 15 hosts each spent the whole retry slack: 233 repeats of slotview in 10 s where 196 were allowed. An answer whose length the server did not tell was given one, so that a cut one looked complete.

Change: heartbeats over UDP (Thrift), hosts counted from what they tell, retry slack and cold servers' turns dealt out by the count; two hosts of each data centre follow the store and relay changes, the others fetch what they lack over TCP. Answers without a length stay without one.

--- a/src/coordination/gateway/effects.hpp
+++ b/src/coordination/gateway/effects.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/effects.hpp"
+#include "state/gateway/peer_heartbeat.hpp"
 #include "state/gateway/pending_request.hpp"
 #include "state/identifiers.hpp"
 #include "state/time.hpp"
@@ -56,9 +57,31 @@
     state::attempt_id attempt {};
 };
 
+/// Send a datagram to another entry host.
+struct tell_peer {
+    state::gateway::peer_ip ip;
+    state::gateway::peer_heartbeat message;
+};
+
+/// Fetch from another entry host what has changed in the published fleet.
+struct fetch_fleet {
+    state::gateway::peer_ip ip;
+    state::revision after = 0;
+    state::duration patience {};
+};
+
+/// Begin or end following the store.
+struct follow_store {
+    bool follow = true;
+    state::revision known = 0; ///< what is known already and need not be read
+};
+
+/// The store is followed but others know more: end the wait for changes and ask anew.
+struct refresh_store { };
+
 /// Everything that a node may ask of transport.
 using effect = std::variant<ask_server, send_request, cancel_attempt, answer_caller, refuse_caller, discard_answer,
-    log_event, node_stopped>;
+    tell_peer, fetch_fleet, follow_store, refresh_store, log_event, node_stopped>;
 
 /// Effects in the order in which they are to happen.
 using effect_list = std::vector<effect>;
--- a/src/coordination/gateway/events.hpp
+++ b/src/coordination/gateway/events.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "state/gateway/peer_heartbeat.hpp"
 #include "state/gateway/pending_request.hpp"
 #include "state/gateway/published_fleet.hpp"
 #include "state/gateway/server_state.hpp"
@@ -83,12 +84,15 @@
 /// The store answers again.
 struct store_regained { };
 
-/// How many entry hosts share the fleet's budgets, and which of them this one is.
-struct hosts_counted {
-    std::uint32_t hosts = 1;
-    std::uint32_t rank = 0; ///< among the hosts, ordered by address
+/// A datagram of another entry host.
+struct peer_heard {
+    state::gateway::peer_ip fromIp; ///< that it came from
+    state::gateway::peer_heartbeat message;
 };
 
+/// A fetch from a peer has ended; what it brought, if anything, was posted before.
+struct fetch_ended { };
+
 /// The process is to stop.
 struct stop_requested { };
 
@@ -97,6 +101,6 @@
 
 /// Everything that can happen to a node.
 using event = std::variant<request_arrived, caller_gone, ask_finished, attempt_finished, fleet_published, store_lost,
-    store_regained, hosts_counted, stop_requested, timer_expired>;
+    store_regained, peer_heard, fetch_ended, stop_requested, timer_expired>;
 
 } // namespace acaciaslip::coordination::gateway
--- a/src/coordination/gateway/fleet_merge.cpp
+++ b/src/coordination/gateway/fleet_merge.cpp
@@ -11,6 +11,9 @@
 using state::gateway::published_fleet;
 using state::gateway::revised;
 
+/// Removals that are remembered for peers that lag; one that lags more gets a snapshot.
+constexpr std::ptrdiff_t mostTombstones = 1000;
+
 bool isOlderVersion(const revised<configuration>& known, const revised<configuration>& read)
 {
     return known.value && (!read.value || read.value->version < known.value->version);
@@ -50,6 +53,36 @@
     return changed;
 }
 
+template <typename Items> void copyNewer(const Items& known, state::revision after, Items& to)
+{
+    for (const auto& [key, item] : known) {
+        if (item.number > after)
+            to[key] = item;
+    }
+}
+
+template <typename Items> void dropTombstones(Items& items)
+{
+    std::erase_if(items, [](const auto& entry) { return !entry.second.value; });
+}
+
+published_fleet withoutTombstones(published_fleet fleet)
+{
+    dropTombstones(fleet.servers);
+    dropTombstones(fleet.evacuations);
+    return fleet;
+}
+
+void pruneTombstones(published_fleet& known)
+{
+    const auto isTombstone = [](const auto& entry) { return !entry.second.value; };
+    const auto count = std::count_if(known.servers.begin(), known.servers.end(), isTombstone);
+    if (count <= mostTombstones)
+        return;
+    known = withoutTombstones(std::move(known));
+    known.tombstonesFrom = known.asOf;
+}
+
 } // namespace
 
 merge_result mergeDelta(published_fleet& known, const fleet_delta& delta)
@@ -69,7 +102,24 @@
         result.changed |= removeMissing(known.evacuations, read.evacuations, read.asOf);
     }
     known.asOf = std::max(known.asOf, read.asOf);
+    if (delta.snapshot)
+        known.tombstonesFrom = known.asOf;
+    else
+        pruneTombstones(known);
     return result;
 }
 
+fleet_delta makeDelta(const published_fleet& known, state::revision after)
+{
+    if (after < known.tombstonesFrom || after > known.asOf)
+        return { true, 0, withoutTombstones(known) };
+    fleet_delta delta { false, after, {} };
+    delta.changes.asOf = known.asOf;
+    if (known.config.number > after)
+        delta.changes.config = known.config;
+    copyNewer(known.servers, after, delta.changes.servers);
+    copyNewer(known.evacuations, after, delta.changes.evacuations);
+    return delta;
+}
+
 } // namespace acaciaslip::coordination::gateway
--- a/src/coordination/gateway/fleet_merge.hpp
+++ b/src/coordination/gateway/fleet_merge.hpp
@@ -14,4 +14,8 @@
 /// item wins, and a configuration's version never goes back.
 merge_result mergeDelta(state::gateway::published_fleet& known, const state::gateway::fleet_delta& delta);
 
+/// Makes what somebody lacks who knows everything up to a revision; a snapshot when that cannot be told any more.
+[[nodiscard]] state::gateway::fleet_delta makeDelta(
+    const state::gateway::published_fleet& known, state::revision after);
+
 } // namespace acaciaslip::coordination::gateway
--- /dev/null
+++ b/src/coordination/gateway/membership.cpp
@@ -0,0 +1,171 @@
+#include "coordination/gateway/membership.hpp"
+
+#include "coordination/gateway/fleet_relay.hpp"
+#include "coordination/gateway/store_duty.hpp"
+
+#include <algorithm>
+
+namespace acaciaslip::coordination::gateway {
+
+namespace {
+
+using state::gateway::peer_heartbeat;
+using state::gateway::peer_ip;
+using state::gateway::peer_state;
+
+constexpr state::duration gossipInterval = std::chrono::seconds { 1 };
+constexpr std::size_t gossipTargets = 2; ///< news reaches n hosts in about log3(n) intervals
+constexpr std::size_t peersTold = 24; ///< in one heartbeat; keeps it within one datagram
+constexpr state::duration silentAfter = std::chrono::seconds { 8 }; ///< some rounds of gossip; then a host is gone
+constexpr state::duration seedInterval = std::chrono::milliseconds { 500 }; ///< while nobody has answered
+/// Hosts leave the count late, so that a host that is only cut off does not raise the others' shares at once.
+constexpr state::duration countMemory = std::chrono::seconds { 20 };
+
+/// Picks some distinct entries by chance.
+template <typename Item> std::vector<Item> pickSome(std::vector<Item> from, std::size_t most, random_generator& random)
+{
+    for (std::size_t index = 0; index < std::min(most, from.size()); ++index) {
+        const auto other = index + random(static_cast<std::uint32_t>(from.size() - index));
+        std::swap(from[index], from[other]);
+    }
+    from.resize(std::min(most, from.size()));
+    return from;
+}
+
+void notePeer(node& self, const peer_ip& ip, const state::data_centre_id& dataCentre, state::time_point aliveAt)
+{
+    if (ip == self.settings.ip || ip.empty())
+        return;
+    auto& peer = self.peers[ip];
+    peer.dataCentre = dataCentre;
+    peer.aliveAt = std::max(peer.aliveAt, aliveAt);
+}
+
+void forgetSilent(node& self, state::time_point now, effect_list& effects)
+{
+    std::erase_if(self.peers, [&](const auto& entry) {
+        const bool silent = now - entry.second.aliveAt >= silentAfter;
+        if (silent)
+            effects.emplace_back(log_event { log_level::info, "peer",
+                { { "ip", entry.first }, { "what", "silent" }, { "data_centre", entry.second.dataCentre } } });
+        return silent;
+    });
+}
+
+void countHosts(node& self, state::time_point now)
+{
+    const auto hosts = static_cast<std::uint32_t>(self.peers.size()) + 1;
+    if (hosts >= self.share.hosts || !self.membership.counted || now - self.membership.mostHostsAt >= countMemory) {
+        // Until somebody has answered, the fleet may be large.
+        const bool known = !self.peers.empty() || self.settings.seeds.empty() || self.membership.counted;
+        if (!known)
+            return;
+        self.share.hosts = hosts;
+        self.membership.counted = true;
+        self.membership.mostHostsAt = now;
+    }
+    const auto before = std::count_if(
+        self.peers.begin(), self.peers.end(), [&](const auto& entry) { return entry.first < self.settings.ip; });
+    self.share.rank = static_cast<std::uint32_t>(before);
+}
+
+void askSeeds(node& self, state::time_point now, random_generator& random, effect_list& effects)
+{
+    for (const auto& seed : self.settings.seeds) {
+        if (seed == self.settings.ip)
+            continue;
+        auto question = makeHeartbeat(self, now, random);
+        question.answerWanted = true;
+        effects.emplace_back(tell_peer { seed, std::move(question) });
+    }
+}
+
+void gossip(node& self, state::time_point now, random_generator& random, effect_list& effects)
+{
+    std::vector<peer_ip> all;
+    for (const auto& [ip, peer] : self.peers)
+        all.push_back(ip);
+    for (const auto& ip : pickSome(std::move(all), gossipTargets, random))
+        effects.emplace_back(tell_peer { ip, makeHeartbeat(self, now, random) });
+}
+
+/// Tells everybody once that this host is leaving.
+void sayFarewell(node& self, state::time_point now, random_generator& random, effect_list& effects)
+{
+    if (self.phase < node_phase::leaving || std::exchange(self.membership.saidFarewell, true))
+        return;
+    for (const auto& [ip, peer] : self.peers)
+        effects.emplace_back(tell_peer { ip, makeHeartbeat(self, now, random) });
+}
+
+} // namespace
+
+peer_heartbeat makeHeartbeat(const node& self, state::time_point now, random_generator& random)
+{
+    peer_heartbeat made;
+    made.from = self.settings.ip;
+    made.dataCentre = self.settings.dataCentre;
+    made.incarnation = self.settings.incarnation;
+    made.leaving = self.phase >= node_phase::leaving;
+    made.followsStore = self.duty.follows && !self.storeLostAt && self.published.asOf > 0;
+    made.asOf = self.published.asOf;
+    std::vector<state::gateway::known_peer> known;
+    for (const auto& [ip, peer] : self.peers)
+        known.push_back({ ip, peer.dataCentre, std::max(now - peer.aliveAt, state::duration {}) });
+    made.peers = pickSome(std::move(known), peersTold, random);
+    return made;
+}
+
+void noteHeartbeat(
+    node& self, const peer_heard& heard, state::time_point now, random_generator& random, effect_list& effects)
+{
+    const auto& message = heard.message;
+    if (message.from != heard.fromIp || message.from == self.settings.ip)
+        return; // nobody speaks for another host
+    if (message.leaving) {
+        self.peers.erase(message.from);
+        return;
+    }
+    notePeer(self, message.from, message.dataCentre, now);
+    auto& peer = self.peers[message.from];
+    if (!peer.heardAt)
+        effects.emplace_back(log_event { log_level::info, "peer",
+            { { "ip", message.from }, { "what", "heard" }, { "data_centre", message.dataCentre },
+                { "revision", std::to_string(message.asOf) } } });
+    peer.incarnation = message.incarnation;
+    peer.heardAt = now;
+    peer.followsStore = message.followsStore;
+    peer.asOf = message.asOf;
+    for (const auto& known : message.peers) {
+        if (known.age < silentAfter)
+            notePeer(self, known.ip, known.dataCentre, now - known.age);
+    }
+    countHosts(self, now);
+    noteRelay(self, message, now, effects);
+    if (message.answerWanted)
+        effects.emplace_back(tell_peer { message.from, makeHeartbeat(self, now, random) });
+}
+
+void advanceMembership(node& self, state::time_point now, random_generator& random, effect_list& effects)
+{
+    sayFarewell(self, now, random, effects);
+    if (now < self.membership.nextGossipAt || self.settings.ip.empty())
+        return;
+    forgetSilent(self, now, effects);
+    countHosts(self, now);
+    if (self.peers.empty()) {
+        askSeeds(self, now, random, effects);
+        self.membership.nextGossipAt = now + seedInterval;
+        return;
+    }
+    gossip(self, now, random, effects);
+    const auto jitter = gossipInterval / 4 * random(1024) / 1024; // NOLINT: spread over a quarter
+    self.membership.nextGossipAt = now + gossipInterval - jitter;
+}
+
+state::time_point nextMembershipStep(const node& self) noexcept
+{
+    return self.settings.ip.empty() ? state::time_point::max() : self.membership.nextGossipAt;
+}
+
+} // namespace acaciaslip::coordination::gateway
--- a/src/coordination/gateway/node.cpp
+++ b/src/coordination/gateway/node.cpp
@@ -1,9 +1,14 @@
 #include "coordination/gateway/node.hpp"
 
 #include "coordination/gateway/asking.hpp"
+#include "coordination/gateway/fleet_relay.hpp"
 #include "coordination/gateway/fleet_view.hpp"
+#include "coordination/gateway/membership.hpp"
 #include "coordination/gateway/request_flow.hpp"
 #include "coordination/gateway/stopping.hpp"
+#include "coordination/gateway/store_duty.hpp"
+
+#include <algorithm>
 
 namespace acaciaslip::coordination::gateway {
 
@@ -23,10 +28,17 @@
     {
         noteAttemptFinished(self, finished, now, random, effects);
     }
-    void operator()(const fleet_published& published) const { notePublished(self, published, now, effects); }
+    void operator()(const fleet_published& published) const
+    {
+        const auto before = self.published.asOf;
+        notePublished(self, published, now, effects);
+        if (published.source == fleet_source::store && self.published.asOf > before)
+            relayChanges(self, published.delta, now, random, effects);
+    }
     void operator()(const store_lost& lost) const { noteStoreLost(self, lost, now, effects); }
     void operator()(const store_regained&) const { noteStoreRegained(self, now, effects); }
-    void operator()(const hosts_counted& counted) const { self.share = { counted.hosts, counted.rank }; }
+    void operator()(const peer_heard& heard) const { noteHeartbeat(self, heard, now, random, effects); }
+    void operator()(const fetch_ended&) const { noteFetchEnded(self, now, effects); }
     void operator()(const stop_requested&) const { beginStop(self, now, effects); }
     void operator()(const timer_expired&) const { }
 };
@@ -38,6 +50,8 @@
     node made;
     made.settings = std::move(settings);
     made.phaseSince = now;
+    made.membership.nextGossipAt = now;
+    made.duty.nextStepAt = now;
     return made;
 }
 
@@ -45,14 +59,23 @@
 {
     std::visit(dispatch { self, now, random, effects }, happened);
     advanceDueRequests(self, now, random, effects);
+    advanceMembership(self, now, random, effects);
+    advanceStoreDuty(self, now, random, effects);
+    advanceRelay(self, now, effects);
     advanceStop(self, now, effects);
 }
 
 std::optional<state::time_point> nextWakeUp(const node& self) noexcept
 {
-    auto next = nextStopStep(self);
+    if (self.phase == node_phase::stopped)
+        return std::nullopt;
+    auto next = std::min(nextMembershipStep(self), nextStoreDutyStep(self));
+    if (const auto relay = nextRelayStep(self))
+        next = std::min(next, *relay);
+    if (const auto stop = nextStopStep(self))
+        next = std::min(next, *stop);
     if (!self.due.empty())
-        next = std::min(next.value_or(state::time_point::max()), self.due.begin()->first);
+        next = std::min(next, self.due.begin()->first);
     return next;
 }
 
--- a/src/coordination/gateway/node.hpp
+++ b/src/coordination/gateway/node.hpp
@@ -8,6 +8,7 @@
 #include "coordination/gateway/settings.hpp"
 #include "coordination/gateway/split_choice.hpp"
 #include "state/duration_histogram.hpp"
+#include "state/gateway/peer_heartbeat.hpp"
 #include "state/gateway/pending_request.hpp"
 #include "state/gateway/published_fleet.hpp"
 #include "state/gateway/server_state.hpp"
@@ -63,10 +64,38 @@
     std::uint64_t storeLosses = 0;
 };
 
+/// How far the gossip between hosts has come.
+struct membership_state {
+    state::time_point nextGossipAt;
+    state::time_point mostHostsAt; ///< when the count that the budgets rest on was last reached
+    bool counted = false; ///< somebody has answered since the start
+    bool saidFarewell = false;
+};
+
+/// This node's part in reading the store.
+struct store_duty {
+    bool follows = false;
+    state::time_point nextStepAt;
+    std::optional<state::time_point> enoughSince; ///< enough others follow
+};
+
+/// Fetches from peers.
+struct relay_state {
+    std::optional<state::time_point> fetchAt; ///< somebody knows more
+    std::optional<state::time_point> fetchEndsAt; ///< of the fetch under way
+};
+
+/// Until the hosts are counted, budgets are shared with as many as a large fleet has.
+inline constexpr std::uint32_t hostsWhenUnknown = 64;
+
 /// One whole node: plain data, changed only by `handle`.
 struct node {
     node_settings settings;
-    host_share share; ///< this host's part in the fleet's budgets
+    host_share share { hostsWhenUnknown, 0 }; ///< this host's part in the fleet's budgets
+    std::map<state::gateway::peer_ip, state::gateway::peer_state> peers; ///< every other host
+    membership_state membership;
+    store_duty duty;
+    relay_state relay;
     node_phase phase = node_phase::starting;
     state::time_point phaseSince;
 
--- a/src/coordination/gateway/settings.hpp
+++ b/src/coordination/gateway/settings.hpp
@@ -4,6 +4,8 @@
 #include "state/time.hpp"
 
 #include <cstdint>
+#include <string>
+#include <vector>
 
 namespace acaciaslip::coordination::gateway {
 
@@ -21,6 +23,9 @@
 struct node_settings {
     state::host_id id;
     state::data_centre_id dataCentre;
+    std::string ip; ///< by which other hosts know this one; empty: it has none and follows the store alone
+    std::vector<std::string> seeds; ///< addresses of some hosts, without port; they may be down
+    std::int64_t incarnation = 0; ///< rises with every start of this host
     fleet_bounds bounds;
 };
 
--- a/src/platform/gateway.cpp
+++ b/src/platform/gateway.cpp
@@ -3,6 +3,7 @@
 #include "platform/host_settings.hpp"
 #include "platform/server_headers.hpp"
 #include "platform/store_client.hpp"
+#include "transport/loop/boot_clock.hpp"
 #include "transport/loop/gateway_daemon.hpp"
 #include "transport/loop/signal_handler.hpp"
 
@@ -31,10 +32,27 @@
     return path != nullptr ? path : "";
 }
 
+std::vector<std::string> withoutPorts(const std::vector<std::string>& addresses)
+{
+    std::vector<std::string> ips;
+    for (const auto& address : addresses)
+        ips.push_back(address.substr(0, address.rfind(':')));
+    return ips;
+}
+
 transport::loop::gateway_settings makeGatewaySettings(const host_settings& host)
 {
     transport::loop::gateway_settings settings;
-    settings.node = { host.id, host.dataCentre, host.bounds };
+    settings.node.id = host.id;
+    settings.node.dataCentre = host.dataCentre;
+    settings.node.bounds = host.bounds;
+    // Without ports of its own a host cannot be told anything and follows the store alone.
+    if (!host.operators.empty() && host.firstInternalPort > 0) {
+        settings.node.ip = host.ip;
+        settings.node.seeds = withoutPorts(host.seeds);
+        settings.peerPort = host.firstInternalPort;
+    }
+    settings.node.incarnation = transport::loop::unixNow().count();
     settings.dialect = makeDialect();
     settings.callers = host.callers;
     settings.health = host.health;
@@ -59,25 +77,25 @@
               [this](const auto& line) { m_daemon.log(line); })
         , m_signals(m_daemon.loop(), { SIGTERM, SIGINT, SIGHUP }, [this](int number) { noteSignal(number); })
     {
-        m_daemon.setMoreGauges([this](auto& gauges) { gauges.storeCalls = m_store.calls(); });
-        m_daemon.setClosing([this] {
-            m_store.stop();
-            m_signals.close();
-        });
+        m_daemon.setStore({ [this](const auto& wanted) { follow(wanted); }, [this] { m_store.hurry(); },
+            [this] { return m_store.calls(); }, [this] { m_store.stop(); } });
+        m_daemon.setClosing([this] { m_signals.close(); });
         m_daemon.log(describeStart(host));
     }
 
-    absl::Status start()
-    {
-        if (auto status = m_daemon.start(); !status.ok())
-            return status;
-        m_store.start();
-        return absl::OkStatus();
-    }
+    absl::Status start() { return m_daemon.start(); }
 
     void run() { m_daemon.run(); }
 
 private:
+    void follow(const coordination::gateway::follow_store& wanted)
+    {
+        if (!wanted.follow)
+            return m_store.stop();
+        m_store.skipTo(wanted.known);
+        m_store.start();
+    }
+
     void noteSignal(int number)
     {
         m_daemon.log({ coordination::log_level::info, "signal", { { "number", std::to_string(number) } } });
@@ -113,6 +131,8 @@
     const auto host = loadHostSettings(file);
     if (!host.ok())
         return sayNo(std::string(host.status().message()));
+    // A write to a connection that the other side has closed is told by its result.
+    (void)std::signal(SIGPIPE, SIG_IGN);
     gateway_process process(*host);
     if (const auto status = process.start(); !status.ok())
         return sayNo(std::string(status.message()));
--- /dev/null
+++ b/src/protocol/gateway_peer.thrift
@@ -0,0 +1,92 @@
+/**
+ * What gateway nodes say to each other. Every datagram and every body begins with one byte, the version, ahead of the
+ * struct in compact encoding; a receiver reads no struct of a version that it does not know. Spans are microseconds.
+ */
+namespace cpp acaciaslip.protocol.gateway_wire
+
+struct split_part {
+  1: required string serviceName
+  2: required i32 weight
+}
+
+struct route {
+  1: required string name
+  2: required string host
+  3: required string pathPrefix
+  4: required i32 kind
+  5: required i64 objective
+  6: required i64 timeout
+  7: required i32 attempts
+  8: required i32 priority
+  9: required list<split_part> split
+}
+
+struct service_description {
+  1: required string name
+  2: required string healthPath
+  3: required i32 maxConnections
+  4: required i64 coldStart
+  5: required double coldRequestsPerSecond
+}
+
+struct configuration {
+  1: required i64 version
+  2: required i64 headerBytes
+  3: required i64 bodyBytes
+  4: required i64 headerTimeout
+  5: required i64 idleTimeout
+  6: required list<route> routes
+  7: required list<service_description> services
+}
+
+struct server_entry {
+  1: required string serviceName
+  2: required string address
+  3: required string dataCentre
+  4: required i32 slots
+  5: required bool draining
+  6: required i64 coldLeft
+  7: required i64 startedAtUnixMs
+}
+
+/** An item at a revision; without an entry it was removed. */
+struct revised_server {
+  1: required string id
+  2: required i64 number
+  3: optional server_entry entry
+}
+
+struct revised_evacuation {
+  1: required string dataCentre
+  2: required i64 number
+  3: required bool evacuated
+}
+
+struct fleet_delta {
+  1: required bool snapshot
+  2: required i64 after
+  3: required i64 asOf
+  4: optional i64 configNumber
+  5: optional configuration config
+  6: required list<revised_server> servers
+  7: required list<revised_evacuation> evacuations
+}
+
+struct known_peer {
+  1: required string ip
+  2: required string dataCentre
+  3: required i64 age
+}
+
+/** One datagram. */
+struct peer_heartbeat {
+  1: required string sender
+  2: required string dataCentre
+  3: required i64 incarnation
+  4: required bool leaving
+  5: required bool answerWanted
+  6: required bool followsStore
+  7: required i64 asOf
+  8: required list<known_peer> peers
+  9: optional fleet_delta delta
+}
--- a/src/protocol/peer_codec.cpp
+++ b/src/protocol/peer_codec.cpp
@@ -1,24 +1,16 @@
 #include "protocol/peer_codec.hpp"
 
 #include "protocol/generated/peer_types.h"
+#include "protocol/thrift_frame.hpp"
 
 #include <limits>
-#include <memory>
 
 #include <fmt/format.h>
-#include <thrift/protocol/TCompactProtocol.h>
-#include <thrift/transport/TBufferTransports.h>
 
 namespace acaciaslip::protocol {
 
 namespace {
 
-using apache::thrift::TConfiguration;
-using apache::thrift::transport::TMemoryBuffer;
-using compact_protocol = apache::thrift::protocol::TCompactProtocolT<TMemoryBuffer>;
-
-/// Deeper than any struct of ours, even one with fields that this build does not know.
-constexpr int maxDepth = 8;
 /// The most entries of a list in a frame of fields that this build does not know.
 constexpr int maxContainerEntries = static_cast<int>(coordination::maxListEntries);
 
@@ -109,43 +101,12 @@
 
 template <typename Struct> absl::StatusOr<std::string> encode(const Struct& wired, std::size_t limit)
 {
-    try {
-        const auto buffer = std::make_shared<TMemoryBuffer>();
-        compact_protocol protocol(buffer);
-        wired.write(&protocol);
-        std::string bytes(1, peerVersion);
-        bytes += buffer->getBufferAsString();
-        if (bytes.size() > limit)
-            return tooLong("encoded message", bytes.size(), limit);
-        return bytes;
-    } catch (const std::exception& error) {
-        return absl::InternalError(fmt::format("cannot encode: {}", error.what()));
-    }
+    return encodeThrift(wired, peerVersion, limit);
 }
 
 template <typename Struct> absl::StatusOr<Struct> decode(std::string_view bytes, std::size_t limit)
 {
-    if (bytes.empty() || bytes.size() > limit)
-        return absl::InvalidArgumentError(
-            fmt::format("a message of {} bytes; 1 to {} are allowed", bytes.size(), limit));
-    if (bytes.front() != peerVersion)
-        return absl::UnimplementedError(fmt::format("unknown version {}", static_cast<int>(bytes.front())));
-    bytes.remove_prefix(1);
-    const auto size = static_cast<int>(bytes.size());
-    try {
-        // The buffer only observes the bytes: it is never written through.
-        auto* const data = reinterpret_cast<std::uint8_t*>(const_cast<char*>(bytes.data()));
-        const auto buffer = std::make_shared<TMemoryBuffer>(data, static_cast<std::uint32_t>(bytes.size()),
-            TMemoryBuffer::OBSERVE, std::make_shared<TConfiguration>(size, size, maxDepth));
-        compact_protocol protocol(buffer, size, maxContainerEntries);
-        Struct wired;
-        wired.read(&protocol);
-        if (buffer->available_read() != 0)
-            return absl::InvalidArgumentError(fmt::format("{} bytes left over", buffer->available_read()));
-        return wired;
-    } catch (const std::exception& error) {
-        return absl::InvalidArgumentError(fmt::format("cannot decode: {}", error.what()));
-    }
+    return decodeThrift<Struct>(bytes, peerVersion, limit, maxContainerEntries);
 }
 
 wire::condition_change toWire(const state::condition_change& change)
--- a/src/protocol/server_dialect.cpp
+++ b/src/protocol/server_dialect.cpp
@@ -126,7 +126,7 @@
     const auto told = findHeader(answer, "Content-Length");
     if (toHead && told)
         http::appendHeader(written, "Content-Length", *told);
-    else if (!toHead && answer.status != noContent && answer.status != notModified)
+    else if (!toHead && !answer.endsWithConnection && answer.status != noContent && answer.status != notModified)
         http::appendHeader(written, "Content-Length", std::to_string(answer.body.size()));
     if (!keepAlive)
         http::appendHeader(written, "Connection", "close");
--- a/src/protocol/server_dialect.hpp
+++ b/src/protocol/server_dialect.hpp
@@ -56,6 +56,8 @@
     const server_dialect& dialect, const http::message& request, std::string_view server, std::int64_t milliseconds);
 
 /// Writes a server's answer for the caller: status, headers and body as they came.
+///
+/// An answer whose length the server did not tell is not given one: if it was cut short, it must not look complete.
 /// \param toHead the caller's method was HEAD: no body follows, and the length is told as the server told it
 [[nodiscard]] std::string writeCallerAnswer(const http::message& answer, bool toHead, bool keepAlive);
 
--- a/src/state/gateway/published_fleet.hpp
+++ b/src/state/gateway/published_fleet.hpp
@@ -42,6 +42,7 @@
 /// Everything that is published, as of one revision. Removed items stay as tombstones until a snapshot replaces them.
 struct published_fleet {
     revision asOf = 0; ///< every change up to this one is included; 0: nothing was read yet
+    revision tombstonesFrom = 0; ///< every removal after this one is known
     revised<configuration> config;
     std::map<host_id, revised<server_entry>> servers;
     std::map<data_centre_id, revised<evacuation>> evacuations;
@@ -54,6 +55,8 @@
     bool snapshot = false; ///< what is not in it does not exist
     revision after = 0; ///< the delta holds every change after this revision
     published_fleet changes;
+
+    [[nodiscard]] bool operator==(const fleet_delta&) const = default;
 };
 
 } // namespace acaciaslip::state::gateway
--- a/src/transport/loop/boot_clock.cpp
+++ b/src/transport/loop/boot_clock.cpp
@@ -11,4 +11,9 @@
     return state::time_point { std::chrono::seconds { time.tv_sec } + std::chrono::nanoseconds { time.tv_nsec } };
 }
 
+std::chrono::microseconds unixNow() noexcept
+{
+    return std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::system_clock::now().time_since_epoch());
+}
+
 } // namespace acaciaslip::transport::loop
--- a/src/transport/loop/caller_edge.cpp
+++ b/src/transport/loop/caller_edge.cpp
@@ -101,7 +101,7 @@
     const auto* request = findRequest(wanted.id);
     if (request == nullptr)
         return;
-    const bool close = wanted.closeConnection || !request->keepAlive;
+    const bool close = wanted.closeConnection || !request->keepAlive || answer.endsWithConnection;
     finish(wanted.id, protocol::writeCallerAnswer(answer, request->method == "HEAD", !close), close);
 }
 
--- a/src/transport/loop/gateway_daemon.cpp
+++ b/src/transport/loop/gateway_daemon.cpp
@@ -6,6 +6,7 @@
 #include <random>
 #include <utility>
 
+#include <netinet/in.h>
 #include <unistd.h>
 
 namespace acaciaslip::transport::loop {
@@ -14,6 +15,7 @@
 
 constexpr state::duration quietPoll = std::chrono::milliseconds { 10 }; ///< while the last answers go out
 constexpr state::duration longestFarewell = std::chrono::milliseconds { 500 }; ///< for the last answers to go out
+constexpr int statusOk = 200;
 constexpr int statusUnavailable = 503;
 constexpr int statusNotFound = 404;
 
@@ -23,21 +25,29 @@
     return (static_cast<std::uint64_t>(device()) << 32U) | device();
 }
 
+int portOf(const std::string& address)
+{
+    const auto parsed = parseAddress(address);
+    return parsed.ok() ? ntohs(parsed->sin_port) : 0;
+}
+
 } // namespace
 
-gateway_daemon::parts::parts(gateway_daemon& owner, const protocol::server_dialect& dialect)
-    : callers(&owner.m_loop, dialect, [&owner](auto event) { owner.post(std::move(event)); })
+gateway_daemon::parts::parts(gateway_daemon& owner, const gateway_settings& settings)
+    : callers(&owner.m_loop, settings.dialect, [&owner](auto event) { owner.post(std::move(event)); })
     , servers(
-          &owner.m_loop, dialect, [&owner](auto event) { owner.post(std::move(event)); },
+          &owner.m_loop, settings.dialect, [&owner](auto event) { owner.post(std::move(event)); },
           [this](state::request_id id) { return callers.findRequest(id); })
     , health(&owner.m_loop,
           [&owner](const protocol::http::message&) {
               const bool ready = coordination::gateway::isReady(owner.m_node);
-              return service_answer { ready ? 200 : statusUnavailable, "text/plain",
+              return service_answer { ready ? statusOk : statusUnavailable, "text/plain",
                   ready ? "ready\n" : "not ready\n" };
           })
     , operators(
           &owner.m_loop, [&owner](const protocol::http::message& request) { return owner.answerOperator(request); })
+    , peers(&owner.m_loop, settings.peerPort, portOf(settings.operators),
+          [&owner](auto event) { owner.post(std::move(event)); })
     , wakeUp(&owner.m_loop,
           [&owner] {
               owner.m_wakeUpAt.reset();
@@ -59,7 +69,7 @@
     m_prepare.data = this;
     uv_prepare_start(
         &m_prepare, [](uv_prepare_t* handle) { static_cast<gateway_daemon*>(handle->data)->m_log.flush(); });
-    m_parts = std::make_unique<parts>(*this, m_settings.dialect);
+    m_parts = std::make_unique<parts>(*this, m_settings);
 }
 
 gateway_daemon::~gateway_daemon()
@@ -78,7 +88,14 @@
         if (auto status = m_parts->operators.listen(m_settings.operators); !status.ok())
             return status;
     }
-    return m_parts->callers.listen(m_settings.callers);
+    if (m_settings.peerPort != 0) {
+        if (auto status = m_parts->peers.start(m_settings.node.ip); !status.ok())
+            return status;
+    }
+    if (auto status = m_parts->callers.listen(m_settings.callers); !status.ok())
+        return status;
+    post(coordination::gateway::timer_expired {});
+    return absl::OkStatus();
 }
 
 void gateway_daemon::run()
@@ -103,35 +120,52 @@
         m_queue.pop_front();
         coordination::gateway::handle(m_node, happened, bootNow(), m_random, m_effects);
         auto effects = std::exchange(m_effects, {});
-        for (auto& effect : effects)
+        for (const auto& effect : effects)
             carryOut(effect);
     }
     applyChanges();
     scheduleWakeUp();
 }
 
-void gateway_daemon::carryOut(coordination::gateway::effect& wanted)
+namespace {
+
+/// Lets one visitor be put together from functions.
+template <typename... Functions> struct overloaded : Functions... {
+    using Functions::operator()...;
+};
+
+} // namespace
+
+void gateway_daemon::carryOut(const coordination::gateway::effect& wanted)
 {
     namespace gateway = coordination::gateway;
-    if (auto* ask = std::get_if<gateway::ask_server>(&wanted))
-        m_parts->servers.ask(*ask);
-    else if (auto* send = std::get_if<gateway::send_request>(&wanted))
-        m_parts->servers.send(*send);
-    else if (auto* cancel = std::get_if<gateway::cancel_attempt>(&wanted))
-        m_parts->servers.cancel(cancel->id);
-    else if (auto* answer = std::get_if<gateway::answer_caller>(&wanted))
-        m_parts->callers.answer(*answer, m_parts->servers.takeAnswer(answer->attempt));
-    else if (auto* refusal = std::get_if<gateway::refuse_caller>(&wanted))
-        m_parts->callers.refuse(*refusal);
-    else if (auto* discarded = std::get_if<gateway::discard_answer>(&wanted))
-        m_parts->servers.dropAnswer(discarded->attempt);
-    else if (auto* line = std::get_if<coordination::log_event>(&wanted))
-        m_log.write(*line);
-    else if (std::holds_alternative<coordination::node_stopped>(wanted)) {
-        m_stopped = true;
-        m_stoppedAt = bootNow();
-        m_parts->exit.start(quietPoll);
-    }
+    auto& [callers, servers, health, operators, peers, wakeUp, exit] = *m_parts;
+    std::visit(
+        overloaded {
+            [&](const gateway::ask_server& ask) { servers.ask(ask); },
+            [&](const gateway::send_request& send) { servers.send(send); },
+            [&](const gateway::cancel_attempt& cancelled) { servers.cancel(cancelled.id); },
+            [&](const gateway::answer_caller& answer) { callers.answer(answer, servers.takeAnswer(answer.attempt)); },
+            [&](const gateway::refuse_caller& refusal) { callers.refuse(refusal); },
+            [&](const gateway::discard_answer& discarded) { servers.dropAnswer(discarded.attempt); },
+            [&](const gateway::tell_peer& told) { peers.tell(told); },
+            [&](const gateway::fetch_fleet& fetched) { peers.fetch(fetched); },
+            [&](const gateway::follow_store& follow) {
+                if (m_store.follow)
+                    m_store.follow(follow);
+            },
+            [&](const gateway::refresh_store&) {
+                if (m_store.refresh)
+                    m_store.refresh();
+            },
+            [&](const coordination::log_event& line) { m_log.write(line); },
+            [&](const coordination::node_stopped&) {
+                m_stopped = true;
+                m_stoppedAt = bootNow();
+                exit.start(quietPoll);
+            },
+        },
+        wanted);
 }
 
 void gateway_daemon::applyChanges()
@@ -174,6 +208,9 @@
     m_parts->servers.close();
     m_parts->health.close();
     m_parts->operators.close();
+    m_parts->peers.close();
+    if (m_store.close)
+        m_store.close();
     if (m_closing)
         m_closing();
     uv_stop(&m_loop);
@@ -183,17 +220,14 @@
 {
     const auto path = protocol::http::pathOf(request.target);
     if (path == "/metrics") {
-        loop_gauges gauges { m_parts->servers.opened(), m_log.dropped(), 0, 0 };
-        if (m_moreGauges)
-            m_moreGauges(gauges);
+        const loop_gauges gauges { m_parts->servers.opened(), m_log.dropped(), m_store.calls ? m_store.calls() : 0,
+            m_parts->peers.refused() };
         return { 200, "text/plain; version=0.0.4", writeGatewayMetrics(m_node, gauges, bootNow()) };
     }
     if (path == "/dump")
         return { 200, "application/json", protocol::describeGateway(m_node, bootNow()).dump() + "\n" };
-    if (m_extension) {
-        if (auto answer = m_extension(request))
-            return std::move(*answer);
-    }
+    if (auto answer = peer_edge::answerFetch(request, m_node.published))
+        return std::move(*answer);
     return { statusNotFound, "text/plain", "no such path\n" };
 }
 
--- a/src/transport/loop/gateway_daemon.hpp
+++ b/src/transport/loop/gateway_daemon.hpp
@@ -6,6 +6,7 @@
 #include "transport/loop/gateway_metrics.hpp"
 #include "transport/loop/http_service.hpp"
 #include "transport/loop/log_writer.hpp"
+#include "transport/loop/peer_edge.hpp"
 #include "transport/loop/server_links.hpp"
 #include "transport/loop/timer.hpp"
 
@@ -25,7 +26,8 @@
     protocol::server_dialect dialect;
     std::string callers; ///< "ip:port" that callers reach
     std::string health; ///< "ip:port" where the platform's balancer asks whether the node is ready
-    std::string operators; ///< "ip:port" for metrics, dumps and other nodes; empty: none
+    std::string operators; ///< "ip:port" for metrics, dumps and other nodes; the port is the same on all hosts
+    int peerPort = 0; ///< of datagrams between hosts, the same on all hosts; 0: none are exchanged
     coordination::log_level lowestLevel = coordination::log_level::info;
 };
 
@@ -33,8 +35,13 @@
 /// bytes.
 class gateway_daemon {
 public:
-    /// Answers a request on the operators' address that the daemon does not know itself; nothing: 404.
-    using operators_extension = std::function<std::optional<service_answer>(const protocol::http::message&)>;
+    /// What follows the store for the node.
+    struct store_follower {
+        std::function<void(const coordination::gateway::follow_store&)> follow;
+        std::function<void()> refresh;
+        std::function<std::uint64_t()> calls; ///< since the start
+        std::function<void()> close; ///< before the loop ends
+    };
 
     explicit gateway_daemon(gateway_settings settings);
     ~gateway_daemon();
@@ -51,8 +58,7 @@
     void post(coordination::gateway::event happened);
 
     void log(const coordination::log_event& event) { m_log.write(event); }
-    void setOperatorsExtension(operators_extension extension) { m_extension = std::move(extension); }
-    void setMoreGauges(std::function<void(loop_gauges&)> gauges) { m_moreGauges = std::move(gauges); }
+    void setStore(store_follower store) { m_store = std::move(store); }
     /// Called before the loop ends, for parts that hold handles of it.
     void setClosing(std::function<void()> closing) { m_closing = std::move(closing); }
     void setBounds(const coordination::gateway::fleet_bounds& bounds) { m_node.settings.bounds = bounds; }
@@ -64,18 +70,19 @@
 
 private:
     struct parts {
-        parts(gateway_daemon& owner, const protocol::server_dialect& dialect);
+        parts(gateway_daemon& owner, const gateway_settings& settings);
 
         caller_edge callers;
         server_links servers;
         http_service health;
         http_service operators;
+        peer_edge peers;
         timer wakeUp;
         timer exit;
     };
 
     void handleQueued();
-    void carryOut(coordination::gateway::effect& wanted);
+    void carryOut(const coordination::gateway::effect& wanted);
     void applyChanges();
     void scheduleWakeUp();
     void finishWhenQuiet();
@@ -90,8 +97,7 @@
     log_writer m_log;
     std::deque<coordination::gateway::event> m_queue;
     coordination::gateway::effect_list m_effects;
-    operators_extension m_extension;
-    std::function<void(loop_gauges&)> m_moreGauges;
+    store_follower m_store;
     std::function<void()> m_closing;
     std::unique_ptr<parts> m_parts;
     std::optional<state::time_point> m_wakeUpAt;
--- a/src/transport/loop/gateway_metrics.cpp
+++ b/src/transport/loop/gateway_metrics.cpp
@@ -68,7 +68,9 @@
         "acaciaslip_log_lines_dropped_total", "Log lines that nobody read in time", gauges.logLinesDropped));
     families.push_back(makeCounter("acaciaslip_store_calls_total", "Calls to the store", gauges.storeCalls));
     families.push_back(
-        makeGauge("acaciaslip_peers_heard", "Other entry hosts heard lately", static_cast<double>(gauges.peersHeard)));
+        makeGauge("acaciaslip_peers", "Other entry hosts heard of lately", static_cast<double>(node.peers.size())));
+    families.push_back(
+        makeCounter("acaciaslip_datagrams_refused_total", "Datagrams that are no heartbeat", gauges.datagramsRefused));
     return prometheus::TextSerializer().Serialize(families);
 }
 
--- a/src/transport/loop/gateway_metrics.hpp
+++ b/src/transport/loop/gateway_metrics.hpp
@@ -12,7 +12,7 @@
     std::uint64_t connectionsOpened = 0; ///< to servers
     std::uint64_t logLinesDropped = 0;
     std::uint64_t storeCalls = 0;
-    std::uint64_t peersHeard = 0;
+    std::uint64_t datagramsRefused = 0;
 };
 
 /// Writes every metric as Prometheus text.
--- /dev/null
+++ b/src/transport/loop/peer_edge.cpp
@@ -0,0 +1,124 @@
+#include "transport/loop/peer_edge.hpp"
+
+#include "coordination/gateway/fleet_merge.hpp"
+#include "protocol/gateway_peer_codec.hpp"
+
+#include <charconv>
+#include <utility>
+
+#include <fmt/format.h>
+
+namespace acaciaslip::transport::loop {
+
+namespace {
+
+constexpr std::string_view fetchPath = "/fleet";
+constexpr protocol::http::message_limits fetchLimits { 65536, 33554432 };
+constexpr int statusOk = 200;
+constexpr int statusUnavailable = 503;
+
+} // namespace
+
+peer_edge::peer_edge(uv_loop_t* loop, int datagramPort, int fetchPort, event_sink sink)
+    : m_loop(loop)
+    , m_datagramPort(datagramPort)
+    , m_fetchPort(fetchPort)
+    , m_sink(std::move(sink))
+    , m_socket(loop,
+          [this](const std::string& from, std::string_view datagram) {
+              auto heartbeat = protocol::decodeHeartbeat(datagram);
+              if (heartbeat.ok())
+                  m_sink(coordination::gateway::peer_heard { from, *std::move(heartbeat) });
+              else
+                  ++m_refused;
+          })
+    , m_patience(loop, [this] { endFetch(); })
+{
+}
+
+absl::Status peer_edge::start(const std::string& ip)
+{
+    return m_socket.bind(fmt::format("{}:{}", ip, m_datagramPort));
+}
+
+void peer_edge::tell(const coordination::gateway::tell_peer& wanted)
+{
+    auto message = wanted.message;
+    auto datagram = protocol::encodeHeartbeat(message);
+    if (!datagram.ok() && message.delta) {
+        message.delta.reset(); // too large: the peer fetches it
+        datagram = protocol::encodeHeartbeat(message);
+    }
+    if (!datagram.ok()) {
+        message.peers.clear();
+        datagram = protocol::encodeHeartbeat(message);
+    }
+    if (datagram.ok())
+        m_socket.send(fmt::format("{}:{}", wanted.ip, m_datagramPort), *datagram);
+}
+
+void peer_edge::fetch(const coordination::gateway::fetch_fleet& wanted)
+{
+    if (m_fetch)
+        m_fetch->close();
+    const auto address = fmt::format("{}:{}", wanted.ip, m_fetchPort);
+    const auto to = parseAddress(address);
+    if (!to.ok())
+        return endFetch();
+    link_callbacks callbacks;
+    callbacks.isAwaited = [](const protocol::http::message&) { return true; };
+    callbacks.answered = [this](const protocol::http::message& answer) { takeFetched(answer); };
+    callbacks.failed = [this](link_failure) { endFetch(); };
+    callbacks.idleClosed = [] {};
+    m_fetch = http_link::open(m_loop, *to, fetchLimits, std::move(callbacks));
+    m_patience.start(wanted.patience);
+    m_fetch->send(fmt::format("GET {}?after={} HTTP/1.1\r\nHost: {}\r\nConnection: close\r\n\r\n", fetchPath,
+                      wanted.after, address),
+        false);
+}
+
+void peer_edge::takeFetched(const protocol::http::message& answer)
+{
+    if (answer.status == statusOk) {
+        auto delta = protocol::decodeDelta(answer.body);
+        if (delta.ok())
+            m_sink(coordination::gateway::fleet_published {
+                *std::move(delta), coordination::gateway::fleet_source::peer });
+        else
+            ++m_refused;
+    }
+    endFetch();
+}
+
+void peer_edge::endFetch()
+{
+    m_patience.stop();
+    if (m_fetch)
+        m_fetch->close();
+    m_fetch.reset();
+    m_sink(coordination::gateway::fetch_ended {});
+}
+
+std::optional<service_answer> peer_edge::answerFetch(
+    const protocol::http::message& request, const state::gateway::published_fleet& known)
+{
+    if (protocol::http::pathOf(request.target) != fetchPath)
+        return std::nullopt;
+    const auto text = protocol::http::findParameter(request.target, "after").value_or("0");
+    state::revision after = 0;
+    std::from_chars(text.data(), text.data() + text.size(), after);
+    const auto bytes = protocol::encodeDelta(coordination::gateway::makeDelta(known, after));
+    if (!bytes.ok() || known.asOf == 0)
+        return service_answer { statusUnavailable, "text/plain", "nothing to give\n" };
+    return service_answer { statusOk, "application/octet-stream", *bytes };
+}
+
+void peer_edge::close()
+{
+    m_patience.stop();
+    if (m_fetch)
+        m_fetch->close();
+    m_socket.close();
+}
+
+} // namespace acaciaslip::transport::loop
--- /dev/null
+++ b/src/transport/loop/peer_edge.hpp
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "coordination/gateway/effects.hpp"
+#include "coordination/gateway/events.hpp"
+#include "protocol/http/message.hpp"
+#include "transport/loop/http_link.hpp"
+#include "transport/loop/http_service.hpp"
+#include "transport/loop/timer.hpp"
+#include "transport/loop/udp_socket.hpp"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace acaciaslip::transport::loop {
+
+/// The side towards other entry hosts: heartbeats as datagrams, and the published fleet over TCP.
+class peer_edge {
+public:
+    using event_sink = std::function<void(coordination::gateway::event)>;
+
+    /// \param datagramPort of every host
+    /// \param fetchPort of every host: the operators' port
+    peer_edge(uv_loop_t* loop, int datagramPort, int fetchPort, event_sink sink);
+
+    /// \param ip this host's own
+    [[nodiscard]] absl::Status start(const std::string& ip);
+
+    void tell(const coordination::gateway::tell_peer& wanted);
+    void fetch(const coordination::gateway::fetch_fleet& wanted);
+
+    /// Answers another host's fetch; nothing when the request is none.
+    [[nodiscard]] static std::optional<service_answer> answerFetch(
+        const protocol::http::message& request, const state::gateway::published_fleet& known);
+
+    [[nodiscard]] std::uint64_t refused() const noexcept { return m_refused; } ///< datagrams that are no heartbeat
+
+    void close();
+
+private:
+    void endFetch();
+    void takeFetched(const protocol::http::message& answer);
+
+    uv_loop_t* m_loop;
+    int m_datagramPort;
+    int m_fetchPort;
+    event_sink m_sink;
+    udp_socket m_socket;
+    std::shared_ptr<http_link> m_fetch;
+    timer m_patience;
+    std::uint64_t m_refused = 0;
+};
+
+} // namespace acaciaslip::transport::loop
--- /dev/null
+++ b/src/transport/loop/udp_socket.hpp
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <functional>
+#include <string>
+#include <string_view>
+
+#include <absl/status/status.h>
+#include <uv.h>
+
+namespace acaciaslip::transport::loop {
+
+/// One UDP socket of a loop.
+class udp_socket {
+public:
+    /// \param received called with the sender's address, without port, and the datagram
+    udp_socket(uv_loop_t* loop, std::function<void(const std::string&, std::string_view)> received);
+    ~udp_socket();
+    udp_socket(const udp_socket&) = delete;
+    udp_socket& operator=(const udp_socket&) = delete;
+
+    /// \param address "ip:port"
+    [[nodiscard]] absl::Status bind(const std::string& address);
+
+    /// Sends a datagram, or drops it when there is no room: datagrams get lost anyway.
+    void send(const std::string& address, std::string_view datagram);
+
+    void close();
+
+private:
+    uv_udp_t* m_handle;
+    std::function<void(const std::string&, std::string_view)> m_received;
+};
+
+} // namespace acaciaslip::transport::loop
