Read the store from one host of each data centre

Change: one follower a data centre, which tells every host; first reads that may be stale, unless the history behind them is gone; changes gathered for 250 ms; hosts that start ask seeds every 40 ms and read the store only after 120 ms; each host keeps to a subset of a large service's servers.

--- a/src/coordination/gateway/ask_choice.cpp
+++ b/src/coordination/gateway/ask_choice.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <limits>
 
+#include <xxhash.h>
+
 namespace acaciaslip::coordination::gateway {
 
 namespace {
@@ -15,8 +17,11 @@
 constexpr double slowServer = 2; ///< observed slowness, likewise
 constexpr double failingServer = 0.25; ///< share of failed requests, likewise
 
+constexpr std::size_t subsetSize = 20; ///< servers of all data centres: some of each are asked in turn
+
 /// Ranks add up; a server with a lower sum is asked earlier. Chance adds less than 1.
-constexpr double rankOtherDataCentre = 1;
+constexpr double rankOutsideSubset = 1;
+constexpr double rankOtherDataCentre = 2;
 constexpr double rankSlowReport = 2;
 constexpr double rankSlowServer = 2;
 constexpr double rankFailing = 3;
@@ -33,9 +38,21 @@
     return report.slots > 0 && report.running >= report.slots;
 }
 
-double rankOf(const node& self, const state::gateway::server_state& server, state::time_point now)
+/// Pattern: too many connections. In a large service each host keeps to a subset of the servers, its own by the hash
+/// of both names, so that a few kept connections serve it; the others are asked when the subset has no good server.
+bool isInSubset(const node& self, const state::gateway::server_state& server, std::size_t members)
+{
+    const auto& host = self.settings.id;
+    const auto& id = server.entry.id;
+    const auto hash = XXH3_64bits_withSeed(host.data(), host.size(), XXH3_64bits(id.data(), id.size()));
+    return hash % members < subsetSize;
+}
+
+double rankOf(const node& self, const state::gateway::server_state& server, std::size_t members, state::time_point now)
 {
     double rank = server.entry.dataCentre == self.settings.dataCentre ? 0 : rankOtherDataCentre;
+    if (!isInSubset(self, server, members))
+        rank += rankOutsideSubset;
     const bool isFresh = server.report && now - server.report->heardAt < reportLife;
     if (isFresh && (server.report->slowdown >= slowReport || isFull(*server.report)))
         rank += rankSlowReport;
@@ -83,7 +100,7 @@
         if (asked || contains(request.tried, id) || !isUsable(server, now) || !mayTakeWhileCold(self, server, now))
             continue;
         const double chance = random() / (std::numeric_limits<std::uint32_t>::max() + 1.0);
-        candidates.push_back({ rankOf(self, server, now) + chance, &id });
+        candidates.push_back({ rankOf(self, server, service->second.members.size(), now) + chance, &id });
     }
     const auto count = std::min(most, candidates.size());
     std::partial_sort(candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(count), candidates.end(),
--- a/src/coordination/gateway/membership.cpp
+++ b/src/coordination/gateway/membership.cpp
@@ -16,8 +16,11 @@
 constexpr state::duration gossipInterval = std::chrono::seconds { 1 };
 constexpr std::size_t gossipTargets = 2; ///< news reaches n hosts in about log3(n) intervals
 constexpr std::size_t peersTold = 24; ///< in one heartbeat; keeps it within one datagram
-constexpr state::duration silentAfter = std::chrono::seconds { 8 }; ///< some rounds of gossip; then a host is gone
-constexpr state::duration seedInterval = std::chrono::milliseconds { 500 }; ///< while nobody has answered
+constexpr state::duration silentAfter
+    = std::chrono::seconds { 15 }; ///< news of each of some hundred hosts comes within it
+constexpr state::duration firstSeedInterval = std::chrono::milliseconds { 40 }; ///< while nobody has answered
+constexpr state::duration seedInterval = std::chrono::milliseconds { 500 }; ///< likewise, when the start is long ago
+constexpr state::duration learning = std::chrono::seconds { 10 }; ///< after the start, hosts ask whom they tell
 /// Hosts leave the count late, so that a host that is only cut off does not raise the others' shares at once.
 constexpr state::duration countMemory = std::chrono::seconds { 20 };
 
@@ -85,8 +88,11 @@
     std::vector<peer_ip> all;
     for (const auto& [ip, peer] : self.peers)
         all.push_back(ip);
-    for (const auto& ip : pickSome(std::move(all), gossipTargets, random))
-        effects.emplace_back(tell_peer { ip, makeHeartbeat(self, now, random) });
+    for (const auto& ip : pickSome(std::move(all), gossipTargets, random)) {
+        auto message = makeHeartbeat(self, now, random);
+        message.answerWanted = now - self.membership.startedAt < learning;
+        effects.emplace_back(tell_peer { ip, std::move(message) });
+    }
 }
 
 /// Tells everybody once that this host is leaving.
@@ -155,7 +161,8 @@
     countHosts(self, now);
     if (self.peers.empty()) {
         askSeeds(self, now, random, effects);
-        self.membership.nextGossipAt = now + seedInterval;
+        const bool young = now - self.membership.startedAt < seedInterval;
+        self.membership.nextGossipAt = now + (young ? firstSeedInterval : seedInterval);
         return;
     }
     gossip(self, now, random, effects);
--- a/src/coordination/gateway/node.cpp
+++ b/src/coordination/gateway/node.cpp
@@ -50,6 +50,7 @@
     node made;
     made.settings = std::move(settings);
     made.phaseSince = now;
+    made.membership.startedAt = now;
     made.membership.nextGossipAt = now;
     made.duty.nextStepAt = now;
     return made;
--- a/src/coordination/gateway/node.hpp
+++ b/src/coordination/gateway/node.hpp
@@ -66,6 +66,7 @@
 
 /// How far the gossip between hosts has come.
 struct membership_state {
+    state::time_point startedAt;
     state::time_point nextGossipAt;
     state::time_point mostHostsAt; ///< when the count that the budgets rest on was last reached
     bool counted = false; ///< somebody has answered since the start
--- a/src/coordination/gateway/store_duty.cpp
+++ b/src/coordination/gateway/store_duty.cpp
@@ -8,10 +8,12 @@
 
 namespace {
 
-constexpr int wantedFollowers = 2; ///< in a data centre: one may stop without anybody noticing late
-constexpr state::duration followerHeartbeat = std::chrono::milliseconds { 400 };
-constexpr state::duration followerSilentAfter = std::chrono::milliseconds { 1000 }; ///< two lost heartbeats
-constexpr state::duration stepDownAfter = std::chrono::seconds { 2 }; ///< with enough others all the while
+constexpr int wantedFollowers = 1; ///< in a data centre; those of the others tell of changes too
+constexpr state::duration followerHeartbeat = std::chrono::milliseconds { 300 };
+constexpr state::duration followerSilentAfter = std::chrono::milliseconds { 900 }; ///< two lost heartbeats
+/// A host that has just started hears from others within this time, and need not read the store.
+constexpr state::duration startDelay = std::chrono::milliseconds { 120 };
+constexpr state::duration stepDownAfter = std::chrono::milliseconds { 500 }; ///< with enough others all the while
 /// A delta with more changes than this is told as a revision only; peers fetch it.
 constexpr std::size_t mostRelayed = 6;
 
@@ -24,19 +26,28 @@
     }));
 }
 
-void tellDataCentre(node& self, const std::optional<state::gateway::fleet_delta>& delta, state::time_point now,
-    random_generator& random, effect_list& effects)
+enum class audience { data_centre, everybody };
+
+void tellPeers(node& self, audience told, const std::optional<state::gateway::fleet_delta>& delta,
+    state::time_point now, random_generator& random, effect_list& effects)
 {
+    auto heartbeat = makeHeartbeat(self, now, random);
+    heartbeat.peers.clear();
+    heartbeat.delta = delta;
     for (const auto& [ip, peer] : self.peers) {
-        if (peer.dataCentre != self.settings.dataCentre)
-            continue;
-        auto heartbeat = makeHeartbeat(self, now, random);
-        heartbeat.peers.clear();
-        heartbeat.delta = delta;
-        effects.emplace_back(tell_peer { ip, std::move(heartbeat) });
+        if (told == audience::everybody || peer.dataCentre == self.settings.dataCentre)
+            effects.emplace_back(tell_peer { ip, heartbeat });
     }
 }
 
+/// Seeds read the store at once, for the others to ask them; a host without any does too.
+bool mayWaitForPeers(const node& self, state::time_point now)
+{
+    const auto& seeds = self.settings.seeds;
+    const bool isSeed = std::find(seeds.begin(), seeds.end(), self.settings.ip) != seeds.end();
+    return !seeds.empty() && !isSeed && now - self.membership.startedAt < startDelay;
+}
+
 void setFollowing(node& self, bool follows, effect_list& effects)
 {
     if (self.duty.follows == follows)
@@ -59,6 +70,10 @@
 {
     if (now < self.duty.nextStepAt)
         return;
+    if (mayWaitForPeers(self, now)) {
+        self.duty.nextStepAt = self.membership.startedAt + startDelay;
+        return;
+    }
     self.duty.nextStepAt = now + followerHeartbeat;
     const bool enough = countFollowersBefore(self, now) >= wantedFollowers && self.published.asOf > 0;
     if (!enough) {
@@ -70,7 +85,7 @@
     else if (now - *self.duty.enoughSince >= stepDownAfter)
         setFollowing(self, false, effects);
     if (self.duty.follows && !self.storeLostAt && self.published.asOf > 0 && self.phase < node_phase::leaving)
-        tellDataCentre(self, std::nullopt, now, random, effects);
+        tellPeers(self, audience::data_centre, std::nullopt, now, random, effects);
 }
 
 state::time_point nextStoreDutyStep(const node& self) noexcept
@@ -81,7 +96,8 @@
 void relayChanges(node& self, const state::gateway::fleet_delta& delta, state::time_point now, random_generator& random,
     effect_list& effects)
 {
-    tellDataCentre(self, isRelayable(delta) ? std::optional(delta) : std::nullopt, now, random, effects);
+    tellPeers(
+        self, audience::everybody, isRelayable(delta) ? std::optional(delta) : std::nullopt, now, random, effects);
 }
 
 } // namespace acaciaslip::coordination::gateway
--- a/src/coordination/gateway/store_duty.hpp
+++ b/src/coordination/gateway/store_duty.hpp
@@ -8,13 +8,13 @@
 /// data centre follow the store and tell the others. Nobody elects them: a host follows unless it hears enough others
 /// of its data centre, that come before it in the order of addresses, say that they follow a store that answers.
 
-/// Begins or ends following the store, and tells the data centre that this node follows.
+/// Begins or ends following the store, and tells the own data centre that this node follows.
 void advanceStoreDuty(node& self, state::time_point now, random_generator& random, effect_list& effects);
 
 /// When `advanceStoreDuty` is next due.
 [[nodiscard]] state::time_point nextStoreDutyStep(const node& self) noexcept;
 
-/// Tells the data centre what has changed in the store.
+/// Tells every host what has changed in the store: each hears it from one host of every data centre.
 void relayChanges(node& self, const state::gateway::fleet_delta& delta, state::time_point now, random_generator& random,
     effect_list& effects);
 
--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -22,8 +22,9 @@
 constexpr std::chrono::milliseconds watchWait { 2500 };
 constexpr state::duration watchPatience = watchWait + std::chrono::milliseconds { 700 };
 constexpr state::duration listPatience = std::chrono::milliseconds { 1000 };
-/// Changes come in groups; watching again a little later reads a group with one call.
-constexpr state::duration gatherChanges = std::chrono::milliseconds { 100 };
+/// Changes come in groups; watching again a little later reads a group with one call. Small beside the seconds within
+/// which a change must be in force.
+constexpr state::duration gatherChanges = std::chrono::milliseconds { 250 };
 constexpr state::duration shortestPause = std::chrono::milliseconds { 100 };
 constexpr state::duration longestPause = std::chrono::milliseconds { 800 };
 constexpr std::uint32_t mostDoublings = 4;
@@ -94,6 +95,8 @@
         m_read = {};
     }
     auto target = fmt::format("/kv-range?path-prefix={}", prefixes[m_prefix]);
+    if (m_staleServes)
+        target += "&allow-stale=1";
     if (!m_after.empty())
         target += fmt::format("&after={}", m_after);
     call(std::move(target), listPatience);
@@ -134,6 +137,7 @@
     if (answer.status == statusHistoryGone && m_stage == stage::watching) {
         m_log({ coordination::log_level::info, "store_history_gone", { { "after", std::to_string(m_asOf) } } });
         m_mustList = true;
+        m_staleServes = false;
         return callNext();
     }
     if (answer.status != statusOk)
@@ -198,6 +202,7 @@
         m_sink(coordination::gateway::fleet_published {
             { false, after, std::exchange(m_read, {}) }, coordination::gateway::fleet_source::store });
     m_stage = stage::idle;
+    m_staleServes = true;
     if (items.empty())
         callNext();
     else
