Tell peers when lapsed entries may return; limit who tries a store that is away

Change: heartbeats say whether their sender follows the store, tries it in vain, or knows that it has just returned; at most three hosts of a data centre try; the first read is made at once, the first watch 400 ms later. Tests of the group of hosts for both.

--- a/src/coordination/gateway/fleet_view.cpp
+++ b/src/coordination/gateway/fleet_view.cpp
@@ -73,7 +73,7 @@
 {
     if (self.storeLostAt)
         return state::time_point::max();
-    return self.storeBackAt ? std::max(now, *self.storeBackAt + reregistration) : now;
+    return std::max(now, self.storeUnsettledUntil);
 }
 
 void dropMissingServers(node& self, state::time_point now, effect_list& effects)
@@ -161,11 +161,16 @@
         { { "away_ms", std::to_string(static_cast<std::int64_t>(state::toMilliseconds(now - *self.storeLostAt))) },
             { "revision", std::to_string(self.published.asOf) } } });
     self.storeLostAt.reset();
-    self.storeBackAt = now;
+    noteStoreUnsettled(self, now);
     for (auto& [id, server] : self.servers) {
         if (server.goneAt)
-            server.goneAt = std::min(*server.goneAt, now + reregistration);
+            server.goneAt = std::min(*server.goneAt, self.storeUnsettledUntil);
     }
 }
 
+void noteStoreUnsettled(node& self, state::time_point now) noexcept
+{
+    self.storeUnsettledUntil = std::max(self.storeUnsettledUntil, now + reregistration);
+}
+
 } // namespace acaciaslip::coordination::gateway
--- a/src/coordination/gateway/fleet_view.hpp
+++ b/src/coordination/gateway/fleet_view.hpp
@@ -13,4 +13,7 @@
 /// Notes that the store answers again.
 void noteStoreRegained(node& self, state::time_point now, effect_list& effects);
 
+/// Notes, from this node's or another's view, that the store was away until now: entries that are missing may return.
+void noteStoreUnsettled(node& self, state::time_point now) noexcept;
+
 } // namespace acaciaslip::coordination::gateway
--- a/src/coordination/gateway/membership.cpp
+++ b/src/coordination/gateway/membership.cpp
@@ -1,6 +1,7 @@
 #include "coordination/gateway/membership.hpp"
 
 #include "coordination/gateway/fleet_relay.hpp"
+#include "coordination/gateway/fleet_view.hpp"
 #include "coordination/gateway/store_duty.hpp"
 
 #include <algorithm>
@@ -113,7 +114,8 @@
     made.dataCentre = self.settings.dataCentre;
     made.incarnation = self.settings.incarnation;
     made.leaving = self.phase >= node_phase::leaving;
-    made.followsStore = self.duty.follows && !self.storeLostAt && self.published.asOf > 0;
+    made.store = findStoreAccess(self);
+    made.storeUnsettled = self.storeLostAt || now < self.storeUnsettledUntil;
     made.asOf = self.published.asOf;
     std::vector<state::gateway::known_peer> known;
     for (const auto& [ip, peer] : self.peers)
@@ -140,12 +142,14 @@
                 { "revision", std::to_string(message.asOf) } } });
     peer.incarnation = message.incarnation;
     peer.heardAt = now;
-    peer.followsStore = message.followsStore;
+    peer.store = message.store;
     peer.asOf = message.asOf;
     for (const auto& known : message.peers) {
         if (known.age < silentAfter)
             notePeer(self, known.ip, known.dataCentre, now - known.age);
     }
+    if (message.storeUnsettled)
+        noteStoreUnsettled(self, now);
     countHosts(self, now);
     noteRelay(self, message, now, effects);
     if (message.answerWanted)
--- a/src/coordination/gateway/node.hpp
+++ b/src/coordination/gateway/node.hpp
@@ -77,7 +77,7 @@
 struct store_duty {
     bool follows = false;
     state::time_point nextStepAt;
-    std::optional<state::time_point> enoughSince; ///< enough others follow
+    std::optional<state::time_point> coveredSince; ///< others follow in this node's place
 };
 
 /// Fetches from peers.
@@ -103,7 +103,7 @@
     state::gateway::published_fleet published;
     std::shared_ptr<const state::gateway::configuration> config; ///< in force; null before the first
     std::optional<state::time_point> storeLostAt; ///< set while the store does not answer
-    std::optional<state::time_point> storeBackAt; ///< when it last began to answer again
+    state::time_point storeUnsettledUntil; ///< until then, entries may have lapsed only because the store was away
     std::unordered_map<state::host_id, state::gateway::server_state> servers;
     std::map<std::string, service_memory> services;
     std::map<std::string, split_balance> splits; ///< by route
--- a/src/coordination/gateway/store_duty.hpp
+++ b/src/coordination/gateway/store_duty.hpp
@@ -5,8 +5,11 @@
 namespace acaciaslip::coordination::gateway {
 
 /// Pattern: thundering readers. Calls to the store must grow with data centres, not with hosts, so a few hosts of each
-/// data centre follow the store and tell the others. Nobody elects them: a host follows unless it hears enough others
-/// of its data centre, that come before it in the order of addresses, say that they follow a store that answers.
+/// data centre follow the store and tell the others. Nobody elects them: a host follows unless it hears from its data
+/// centre that a host before it in the order of addresses follows a store that answers, or that some before it try.
+
+/// Whether this node follows the store, for its heartbeats.
+[[nodiscard]] state::gateway::store_access findStoreAccess(const node& self) noexcept;
 
 /// Begins or ends following the store, and tells the own data centre that this node follows.
 void advanceStoreDuty(node& self, state::time_point now, random_generator& random, effect_list& effects);
@@ -14,7 +17,7 @@
 /// When `advanceStoreDuty` is next due.
 [[nodiscard]] state::time_point nextStoreDutyStep(const node& self) noexcept;
 
-/// Tells every host what has changed in the store: each hears it from one host of every data centre.
+/// Tells the own data centre what has changed in the store.
 void relayChanges(node& self, const state::gateway::fleet_delta& delta, state::time_point now, random_generator& random,
     effect_list& effects);
 
--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -25,6 +25,8 @@
 /// Changes come in groups; watching again a little later reads a group with one call. Small beside the seconds within
 /// which a change must be in force.
 constexpr state::duration gatherChanges = std::chrono::milliseconds { 250 };
+/// By then a host that has just started has heard whether others follow the store, and need not watch it.
+constexpr state::duration beforeFirstWatch = std::chrono::milliseconds { 400 };
 constexpr state::duration shortestPause = std::chrono::milliseconds { 100 };
 constexpr state::duration longestPause = std::chrono::milliseconds { 800 };
 constexpr std::uint32_t mostDoublings = 4;
@@ -187,7 +189,10 @@
     m_asOf = m_read.asOf;
     m_sink(coordination::gateway::fleet_published {
         { true, 0, std::exchange(m_read, {}) }, coordination::gateway::fleet_source::store });
-    callNext();
+    if (std::exchange(m_firstListing, false))
+        m_pause.start(beforeFirstWatch);
+    else
+        callNext();
 }
 
 void store_client::takeEvents(const json& events)
--- a/src/platform/store_client.hpp
+++ b/src/platform/store_client.hpp
@@ -76,6 +76,7 @@
     state::gateway::published_fleet m_read; ///< of the listing under way, or of the newest events
     state::revision m_asOf = 0; ///< every change up to here was handed on
     bool m_mustList = true;
+    bool m_firstListing = true;
     /// A read that may be stale costs a tenth, and the watch that follows tells what it lacks; but not when the history
     /// behind the stale revision is gone.
     bool m_staleServes = true;
--- a/src/protocol/gateway_peer.thrift
+++ b/src/protocol/gateway_peer.thrift
@@ -85,8 +85,9 @@
   3: required i64 incarnation
   4: required bool leaving
   5: required bool answerWanted
-  6: required bool followsStore
+  6: required i32 store
   7: required i64 asOf
   8: required list<known_peer> peers
   9: optional fleet_delta delta
+  10: optional bool storeUnsettled
 }
--- a/src/protocol/gateway_peer_codec.cpp
+++ b/src/protocol/gateway_peer_codec.cpp
@@ -197,7 +197,9 @@
     wired.incarnation = heartbeat.incarnation;
     wired.leaving = heartbeat.leaving;
     wired.answerWanted = heartbeat.answerWanted;
-    wired.followsStore = heartbeat.followsStore;
+    wired.store = static_cast<std::int32_t>(heartbeat.store);
+    if (heartbeat.storeUnsettled)
+        wired.__set_storeUnsettled(true);
     wired.asOf = static_cast<std::int64_t>(heartbeat.asOf);
     for (const auto& peer : heartbeat.peers) {
         auto& added = wired.peers.emplace_back();
@@ -218,7 +220,10 @@
     heartbeat.incarnation = wired.incarnation;
     heartbeat.leaving = wired.leaving;
     heartbeat.answerWanted = wired.answerWanted;
-    heartbeat.followsStore = wired.followsStore;
+    if (wired.store < 0 || wired.store >= static_cast<std::int32_t>(fleet::storeAccessNames.size()))
+        throw range_error("an unknown kind of access to the store");
+    heartbeat.store = static_cast<fleet::store_access>(wired.store);
+    heartbeat.storeUnsettled = wired.__isset.storeUnsettled && wired.storeUnsettled;
     heartbeat.asOf = checked<state::revision>(wired.asOf);
     for (const auto& peer : wired.peers)
         heartbeat.peers.push_back({ peer.ip, peer.dataCentre, toSpan(peer.age) });
--- a/src/state/gateway/peer_heartbeat.hpp
+++ b/src/state/gateway/peer_heartbeat.hpp
@@ -1,9 +1,11 @@
 #pragma once
 
+#include "state/enum_names.hpp"
 #include "state/gateway/published_fleet.hpp"
 #include "state/identifiers.hpp"
 #include "state/time.hpp"
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -24,6 +26,19 @@
     [[nodiscard]] bool operator==(const known_peer&) const = default;
 };
 
+/// Whether a host follows the store itself.
+enum class store_access {
+    none, ///< it hears of changes from others
+    answers,
+    away, ///< it tries to, and the store does not answer it
+};
+
+inline constexpr std::array<enum_name<store_access>, 3> storeAccessNames { {
+    { store_access::none, "none" },
+    { store_access::answers, "answers" },
+    { store_access::away, "away" },
+} };
+
 /// One datagram between entry hosts.
 struct peer_heartbeat {
     peer_ip from;
@@ -31,7 +46,8 @@
     std::int64_t incarnation = 0; ///< rises with each start of the sender
     bool leaving = false;
     bool answerWanted = false;
-    bool followsStore = false; ///< the sender reads the store, and the store answers it
+    store_access store = store_access::none;
+    bool storeUnsettled = false; ///< the store is away or has just returned: entries may have lapsed only for that
     revision asOf = 0; ///< up to which the sender knows the published fleet
     std::vector<known_peer> peers; ///< some that the sender knows
     std::optional<fleet_delta> delta; ///< what has just changed
@@ -45,7 +61,7 @@
     std::int64_t incarnation = 0; ///< 0: heard of only
     time_point aliveAt; ///< when it was last heard, by anybody
     std::optional<time_point> heardAt; ///< when this node itself last heard it
-    bool followsStore = false;
+    store_access store = store_access::none;
     revision asOf = 0;
 };
 
--- a/tests/coordination/gateway/host_group_test.cpp
+++ b/tests/coordination/gateway/host_group_test.cpp
@@ -102,6 +102,34 @@
     EXPECT_TRUE(allKnow(m_group.m_store.asOf));
 }
 
+TEST_F(host_group_test, Store_Down_OnlySomeHostsTryIt)
+{
+    m_group.change("s", true);
+    m_group.run(8s);
+    m_group.m_storeDown = true;
+    m_group.run(6s);
+    EXPECT_LE(m_group.countFollowers(), 12U);
+    m_group.m_storeDown = false;
+    m_group.run(3s);
+    EXPECT_EQ(m_group.countFollowers(), 3U);
+}
+
+TEST_F(host_group_test, Entry_LapsedWhileTheStoreWasAway_KeptEverywhereUntilItShouldBeBack)
+{
+    m_group.change("s", true);
+    m_group.run(8s);
+    m_group.m_storeDown = true;
+    m_group.run(2s);
+    m_group.change("s", false);
+    m_group.m_storeDown = false;
+    m_group.run(1s);
+    for (const auto& [ip, node] : m_group.m_nodes)
+        EXPECT_TRUE(node.servers.contains("s") && *node.servers.at("s").goneAt > m_group.m_now) << ip;
+    m_group.run(4s);
+    for (const auto& [ip, node] : m_group.m_nodes)
+        EXPECT_TRUE(!node.servers.contains("s") || *node.servers.at("s").goneAt <= m_group.m_now) << ip;
+}
+
 TEST_F(host_group_test, Host_RestartsWhileTheStoreIsDown_LearnsFromPeers)
 {
     m_group.change("s", true);
