Keep a part of the retry budget for callers that cannot come back

Peers in heartbeats are written in 12 bytes in place of 40, and two of three go to the own data centre. Subsets of 12 servers. Changes of the store gathered for 400 ms. Tests of the transport, the protocol and the adapter; settings that lack a field are refused with its name again (found by its test).

--- a/src/coordination/gateway/ask_choice.cpp
+++ b/src/coordination/gateway/ask_choice.cpp
@@ -17,7 +17,7 @@
 constexpr double slowServer = 2; ///< observed slowness, likewise
 constexpr double failingServer = 0.25; ///< share of failed requests, likewise
 
-constexpr std::size_t subsetSize = 20; ///< servers of all data centres: some of each are asked in turn
+constexpr std::size_t subsetSize = 12; ///< servers of all data centres: some of each are asked in turn
 
 /// Ranks add up; a server with a lower sum is asked earlier. Chance adds less than 1.
 constexpr double rankOutsideSubset = 1;
--- a/src/coordination/gateway/membership.cpp
+++ b/src/coordination/gateway/membership.cpp
@@ -15,7 +15,9 @@
 using state::gateway::peer_state;
 
 constexpr state::duration gossipInterval = std::chrono::seconds { 1 };
-constexpr std::size_t gossipTargets = 2; ///< news reaches n hosts in about log3(n) intervals
+constexpr std::size_t learningTargets = 2; ///< hosts told at each interval while learning
+/// One interval in this many a host of any data centre is told, otherwise one of the own: bytes between them are dear.
+constexpr std::uint64_t anywhereOneIn = 3;
 constexpr std::size_t peersTold = 24; ///< in one heartbeat; keeps it within one datagram
 constexpr state::duration silentAfter
     = std::chrono::seconds { 15 }; ///< news of each of some hundred hosts comes within it
@@ -84,14 +86,24 @@
     }
 }
 
+/// Hosts that have just started ask some at a time, of any data centre; later, one is told at each interval.
+std::vector<peer_ip> chooseTargets(node& self, bool isLearning, random_generator& random)
+{
+    const bool anywhere = isLearning || self.membership.intervals++ % anywhereOneIn == 0;
+    std::vector<peer_ip> candidates;
+    for (const auto& [ip, peer] : self.peers) {
+        if (anywhere || peer.dataCentre == self.settings.dataCentre)
+            candidates.push_back(ip);
+    }
+    return pickSome(std::move(candidates), isLearning ? learningTargets : 1, random);
+}
+
 void gossip(node& self, state::time_point now, random_generator& random, effect_list& effects)
 {
-    std::vector<peer_ip> all;
-    for (const auto& [ip, peer] : self.peers)
-        all.push_back(ip);
-    for (const auto& ip : pickSome(std::move(all), gossipTargets, random)) {
+    const bool isLearning = now - self.membership.startedAt < learning;
+    for (const auto& ip : chooseTargets(self, isLearning, random)) {
         auto message = makeHeartbeat(self, now, random);
-        message.answerWanted = now - self.membership.startedAt < learning;
+        message.answerWanted = isLearning;
         effects.emplace_back(tell_peer { ip, std::move(message) });
     }
 }
--- a/src/coordination/gateway/node.hpp
+++ b/src/coordination/gateway/node.hpp
@@ -47,6 +47,7 @@
     std::vector<state::host_id> members; ///< every registered server
     std::optional<state::duration> typicalWork; ///< on an undisturbed server; learnt
     retry_allowance repeats;
+    state::duration longestWait {}; ///< that a caller of this service has said that it has
 };
 
 /// What a node has counted since it started. Read by the metrics and the dump.
@@ -68,6 +69,7 @@
 struct membership_state {
     state::time_point startedAt;
     state::time_point nextGossipAt;
+    std::uint64_t intervals = 0; ///< of gossip, since the start
     state::time_point mostHostsAt; ///< when the count that the budgets rest on was last reached
     bool counted = false; ///< somebody has answered since the start
     bool saidFarewell = false;
--- a/src/coordination/gateway/request_flow.cpp
+++ b/src/coordination/gateway/request_flow.cpp
@@ -23,6 +23,16 @@
 constexpr int firstServerError = 500;
 constexpr double newestWorkWeight = 0.1; ///< of an answer in a service's typical work
 
+/// Callers of a service begin with about the same time; one that has clearly less has used some of it elsewhere.
+bool hasLessTimeThanOthers(service_memory& service, std::optional<state::duration> callerWaits)
+{
+    constexpr double clearly = 0.99;
+    if (!callerWaits)
+        return false;
+    service.longestWait = std::max(service.longestWait, *callerWaits);
+    return *callerWaits < std::chrono::duration_cast<state::duration>(service.longestWait * clearly);
+}
+
 pending_request makeRequest(
     node& self, const request_arrived& arrived, const state::gateway::route& route, state::time_point now)
 {
@@ -38,6 +48,7 @@
     request.callerDeadline = now + arrived.callerWaits.value_or(route.timeout);
     request.answerBy = std::min(now + route.timeout, request.callerDeadline);
     request.dueAt = request.answerBy;
+    request.isReturning = hasLessTimeThanOthers(self.services[request.service], arrived.callerWaits);
     return request;
 }
 
--- a/src/coordination/gateway/sending.cpp
+++ b/src/coordination/gateway/sending.cpp
@@ -57,7 +57,8 @@
         || request.sends >= request.matched->attempts + mostRefusedSends)
         return false;
     const bool allowed = request.sends == 0
-        || mayRepeat(self.services[request.service].repeats, self.settings.bounds, self.share.hosts, now);
+        || mayRepeat(self.services[request.service].repeats, self.settings.bounds, self.share.hosts,
+            request.isReturning && request.running.empty() ? repeat_use::last_try : repeat_use::first_try, now);
     self.counters.repeatsDenied += allowed ? 0 : 1;
     return allowed;
 }
--- a/src/platform/host_settings.cpp
+++ b/src/platform/host_settings.cpp
@@ -27,22 +27,7 @@
     }
 
     /// Finds the node at "table.field"; undefined when some part is missing.
-    [[nodiscard]] YAML::Node find(std::string_view path) const
-    {
-        YAML::Node node;
-        node.reset(m_root);
-        while (!path.empty()) {
-            const auto dot = std::min(path.find('.'), path.size());
-            if (!node.IsMap())
-                return YAML::Node(YAML::NodeType::Undefined);
-            const YAML::Node& table = node; // a constant node does not grow when it is read
-            node.reset(table[std::string(path.substr(0, dot))]);
-            if (!node.IsDefined())
-                return node;
-            path.remove_prefix(std::min(dot + 1, path.size()));
-        }
-        return node;
-    }
+    [[nodiscard]] YAML::Node find(std::string_view path) const { return findIn(m_root, path); }
 
     std::string requiredText(std::string_view path)
     {
@@ -96,6 +81,16 @@
     [[nodiscard]] const std::string& errors() const noexcept { return m_errors; }
 
 private:
+    static YAML::Node findIn(const YAML::Node& table, std::string_view path)
+    {
+        const auto dot = std::min(path.find('.'), path.size());
+        const auto child
+            = table.IsMap() ? table[std::string(path.substr(0, dot))] : YAML::Node(YAML::NodeType::Undefined);
+        if (!child.IsDefined())
+            return YAML::Node(YAML::NodeType::Undefined);
+        return dot == path.size() ? child : findIn(child, path.substr(dot + 1));
+    }
+
     void addError(const YAML::Node& node, std::string_view path, std::string_view problem)
     {
         const auto mark = node.IsDefined() ? node.Mark() : YAML::Mark::null_mark();
--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -24,7 +24,7 @@
 constexpr state::duration listPatience = std::chrono::milliseconds { 1000 };
 /// Changes come in groups; watching again a little later reads a group with one call. Small beside the seconds within
 /// which a change must be in force.
-constexpr state::duration gatherChanges = std::chrono::milliseconds { 250 };
+constexpr state::duration gatherChanges = std::chrono::milliseconds { 400 };
 /// By then a host that has just started has heard whether others follow the store, and need not watch it.
 constexpr state::duration beforeFirstWatch = std::chrono::milliseconds { 400 };
 constexpr state::duration shortestPause = std::chrono::milliseconds { 100 };
--- a/src/protocol/gateway_peer.thrift
+++ b/src/protocol/gateway_peer.thrift
@@ -72,13 +72,14 @@
   7: required list<revised_evacuation> evacuations
 }
 
+/** Ages are tenths of a second. */
 struct known_peer {
-  1: required string ip
-  2: required string dataCentre
-  3: required i64 age
+  1: required i32 ip
+  2: required i8 dataCentre
+  3: required i16 age
 }
 
-/** One datagram. */
+/** One datagram. Its peers name their data centre by its place in a list. */
 struct peer_heartbeat {
   1: required string sender
   2: required string dataCentre
@@ -90,4 +91,5 @@
   8: required list<known_peer> peers
   9: optional fleet_delta delta
   10: optional bool storeUnsettled
+  11: required list<string> dataCentres
 }
--- a/src/protocol/gateway_peer_codec.cpp
+++ b/src/protocol/gateway_peer_codec.cpp
@@ -3,8 +3,12 @@
 #include "protocol/generated/gateway_peer_types.h"
 #include "protocol/thrift_frame.hpp"
 
+#include <algorithm>
+#include <array>
 #include <limits>
 
+#include <arpa/inet.h>
+
 namespace acaciaslip::protocol {
 
 namespace {
@@ -14,6 +18,8 @@
 
 constexpr char version = 1;
 constexpr std::size_t maxDeltaBytes = 33554432; ///< some ten thousand servers and routes
+constexpr state::duration ageUnit = std::chrono::milliseconds { 100 };
+constexpr state::duration mostAge = ageUnit * std::numeric_limits<std::int16_t>::max();
 constexpr int maxEntries = 65536; ///< of one list
 
 std::int64_t toMicroseconds(state::duration span)
@@ -189,6 +195,18 @@
     return delta;
 }
 
+/// The place of a name in a list, which grows by it if need be.
+std::int8_t findOrAdd(std::vector<std::string>& names, const std::string& name)
+{
+    const auto found = std::find(names.begin(), names.end(), name);
+    const auto place = found - names.begin();
+    if (found == names.end())
+        names.push_back(name);
+    if (place > std::numeric_limits<std::int8_t>::max())
+        throw range_error("too many data centres");
+    return static_cast<std::int8_t>(place);
+}
+
 wire::peer_heartbeat toWire(const fleet::peer_heartbeat& heartbeat)
 {
     wire::peer_heartbeat wired;
@@ -202,10 +220,13 @@
         wired.__set_storeUnsettled(true);
     wired.asOf = static_cast<std::int64_t>(heartbeat.asOf);
     for (const auto& peer : heartbeat.peers) {
+        in_addr address {};
+        if (inet_pton(AF_INET, peer.ip.c_str(), &address) != 1)
+            continue; // no address of ours
         auto& added = wired.peers.emplace_back();
-        added.ip = peer.ip;
-        added.dataCentre = peer.dataCentre;
-        added.age = toMicroseconds(peer.age);
+        added.ip = static_cast<std::int32_t>(ntohl(address.s_addr));
+        added.dataCentre = findOrAdd(wired.dataCentres, peer.dataCentre);
+        added.age = static_cast<std::int16_t>(std::min<state::duration>(peer.age, mostAge) / ageUnit);
     }
     if (heartbeat.delta)
         wired.__set_delta(toWire(*heartbeat.delta));
@@ -225,8 +246,16 @@
     heartbeat.store = static_cast<fleet::store_access>(wired.store);
     heartbeat.storeUnsettled = wired.__isset.storeUnsettled && wired.storeUnsettled;
     heartbeat.asOf = checked<state::revision>(wired.asOf);
-    for (const auto& peer : wired.peers)
-        heartbeat.peers.push_back({ peer.ip, peer.dataCentre, toSpan(peer.age) });
+    for (const auto& peer : wired.peers) {
+        if (peer.age < 0 || peer.dataCentre < 0
+            || static_cast<std::size_t>(peer.dataCentre) >= wired.dataCentres.size())
+            throw range_error("a peer's age or data centre is out of range");
+        std::array<char, INET_ADDRSTRLEN> ip {};
+        const in_addr address { htonl(static_cast<std::uint32_t>(peer.ip)) };
+        inet_ntop(AF_INET, &address, ip.data(), ip.size());
+        heartbeat.peers.push_back(
+            { ip.data(), wired.dataCentres[static_cast<std::size_t>(peer.dataCentre)], peer.age * ageUnit });
+    }
     if (wired.__isset.delta)
         heartbeat.delta = fromWire(wired.delta);
     return heartbeat;
--- a/src/transport/loop/gateway_daemon.cpp
+++ b/src/transport/loop/gateway_daemon.cpp
@@ -74,9 +74,13 @@
 
 gateway_daemon::~gateway_daemon()
 {
+    if (!m_closed)
+        close();
     m_parts.reset();
     uv_close(reinterpret_cast<uv_handle_t*>(&m_prepare), nullptr);
-    uv_run(&m_loop, UV_RUN_DEFAULT);
+    // Lets closed handles go. Handles that others have put on the loop are theirs to close before.
+    uv_run(&m_loop, UV_RUN_NOWAIT);
+    uv_run(&m_loop, UV_RUN_NOWAIT);
     uv_loop_close(&m_loop);
 }
 
@@ -160,7 +164,6 @@
             },
             [&](const coordination::log_event& line) { m_log.write(line); },
             [&](const coordination::node_stopped&) {
-                m_stopped = true;
                 m_stoppedAt = bootNow();
                 exit.start(quietPoll);
             },
@@ -203,6 +206,7 @@
 
 void gateway_daemon::close()
 {
+    m_closed = true;
     m_log.write({ coordination::log_level::info, "stopped", { { "id", m_settings.node.id } } });
     m_parts->callers.close();
     m_parts->servers.close();
--- a/src/transport/loop/gateway_daemon.hpp
+++ b/src/transport/loop/gateway_daemon.hpp
@@ -104,7 +104,7 @@
     const state::gateway::configuration* m_appliedConfig = nullptr;
     bool m_handling = false;
     bool m_left = false;
-    bool m_stopped = false;
+    bool m_closed = false;
     state::time_point m_stoppedAt;
 };
 
--- /dev/null
+++ b/tests/platform/host_settings_test.cpp
@@ -0,0 +1,102 @@
+#include "platform/host_settings.hpp"
+#include "platform/server_headers.hpp"
+#include "platform/span.hpp"
+
+#include <gtest/gtest.h>
+
+namespace acaciaslip::platform {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr const char* settingsText = R"(self:
+  node-name: "front-midden-a-1"
+  ip: "10.1.0.15"
+  zone: "midden-a"
+network:
+  listen:
+    front: "10.1.0.15:8641"
+    ready: "10.1.0.15:8640"
+    control: "10.1.0.15:8649"
+  internal-ports:
+    - 7620
+    - 7635
+  seeds:
+    - "10.1.0.15:8649"
+    - "10.2.0.42:8649"
+platform:
+  platform:
+    address: "10.200.1.7:8642"
+    reads-per-s: 2000
+terms:
+  bounds:
+    retry-ratio: 0.2
+    retry-window: "10s"
+    retry-slack: 58
+    grace: "6s"
+)";
+
+class host_settings_test : public testing::Test { };
+
+TEST_F(host_settings_test, File_Whole_EveryFieldIsRead)
+{
+    const auto settings = readHostSettings(settingsText, "boot.yaml");
+    ASSERT_TRUE(settings.ok()) << settings.status();
+    EXPECT_EQ(settings->id, "front-midden-a-1");
+    EXPECT_EQ(settings->callers, "10.1.0.15:8641");
+    EXPECT_EQ(settings->health, "10.1.0.15:8640");
+    EXPECT_EQ(settings->operators, "10.1.0.15:8649");
+    EXPECT_EQ(settings->firstInternalPort, 7620);
+    EXPECT_EQ(settings->seeds.size(), 2U);
+    EXPECT_EQ(settings->store, "10.200.1.7:8642");
+    EXPECT_EQ(settings->bounds.retrySlack, 58);
+    EXPECT_EQ(settings->bounds.stopGrace, 6s);
+}
+
+TEST_F(host_settings_test, File_FieldsMissing_EveryOneIsNamed)
+{
+    const auto settings = readHostSettings("self: {zone: x}\n", "boot.yaml");
+    const std::string why(settings.status().message());
+    EXPECT_NE(why.find("self.node-name"), std::string::npos) << why;
+    EXPECT_NE(why.find("network.listen.front"), std::string::npos) << why;
+    EXPECT_NE(why.find("platform.platform.address"), std::string::npos) << why;
+}
+
+TEST_F(host_settings_test, Bound_OfAnotherType_ToldWithLineAndColumn)
+{
+    auto text = std::string(settingsText);
+    text.replace(text.find("\"6s\""), 4, "soon");
+    const auto settings = readHostSettings(text, "boot.yaml");
+    const std::string why(settings.status().message());
+    EXPECT_NE(why.find("boot.yaml:25:12: terms.bounds.grace"), std::string::npos) << why;
+}
+
+TEST_F(host_settings_test, File_NoYaml_Refused)
+{
+    EXPECT_FALSE(readHostSettings("self: [", "boot.yaml").ok());
+}
+
+TEST_F(host_settings_test, Span_NumberAndUnit_Read)
+{
+    EXPECT_EQ(readSpan("1500ms"), 1500ms);
+    EXPECT_EQ(readSpan("2.5s"), 2500ms);
+    for (const auto* text : { "", "s", "5", "5m", "-1s", "1e99s", "nans", "2s " })
+        EXPECT_FALSE(readSpan(text)) << text;
+}
+
+TEST_F(host_settings_test, LoadHeader_ThreeOrFourFigures_Read)
+{
+    const auto dialect = makeDialect();
+    const auto report = dialect.readLoad("3,1,8,500");
+    ASSERT_TRUE(report);
+    EXPECT_EQ(report->running, 3U);
+    EXPECT_EQ(report->waiting, 1U);
+    EXPECT_EQ(report->slots, 8U);
+    EXPECT_EQ(report->slowdown, 5);
+    EXPECT_EQ(dialect.readLoad("3,0,8")->slowdown, 1);
+    for (const auto* text : { "", "1,2", "a,b,c", "1,2,-3", "1,,3" })
+        EXPECT_FALSE(dialect.readLoad(text)) << text;
+}
+
+} // namespace
+} // namespace acaciaslip::platform
--- /dev/null
+++ b/tests/protocol/gateway_peer_codec_test.cpp
@@ -0,0 +1,105 @@
+#include "protocol/gateway_peer_codec.hpp"
+
+#include <random>
+
+#include <gtest/gtest.h>
+
+namespace acaciaslip::protocol {
+namespace {
+
+using namespace std::chrono_literals;
+
+class gateway_peer_codec_test : public testing::Test {
+protected:
+    static state::gateway::fleet_delta makeDelta()
+    {
+        state::gateway::fleet_delta delta { true, 0, {} };
+        delta.changes.asOf = 77;
+        auto& config = delta.changes.config.value.emplace();
+        delta.changes.config.number = 70;
+        config.version = 12;
+        config.limits = { 100, 200, 3s, 15s };
+        config.routes = { { "r", "h", "/p/", state::gateway::request_kind::idempotent, 600ms, 1200ms, 2, 1,
+            { { "a", 90 }, { "b", 10 } } } };
+        config.services = { { "a", "/health", 220, 3s, 3.4 } };
+        delta.changes.servers["s1"]
+            = { 71, state::gateway::server_entry { "s1", "a", "10.0.0.1:80", "dc-a", 4, true, 1500ms, 123456789 } };
+        delta.changes.servers["s2"] = { 72, std::nullopt };
+        delta.changes.evacuations["dc-b"] = { 73, state::gateway::evacuation {} };
+        delta.changes.evacuations["dc-c"] = { 74, std::nullopt };
+        return delta;
+    }
+
+    static state::gateway::peer_heartbeat makeHeartbeat()
+    {
+        state::gateway::peer_heartbeat heartbeat;
+        heartbeat.from = "10.0.0.9";
+        heartbeat.dataCentre = "dc-a";
+        heartbeat.incarnation = 42;
+        heartbeat.answerWanted = true;
+        heartbeat.store = state::gateway::store_access::away;
+        heartbeat.storeUnsettled = true;
+        heartbeat.asOf = 5;
+        heartbeat.peers = { { "10.0.0.1", "dc-b", 1500ms } };
+        return heartbeat;
+    }
+};
+
+TEST_F(gateway_peer_codec_test, Delta_WrittenAndRead_IsTheSame)
+{
+    const auto bytes = encodeDelta(makeDelta());
+    ASSERT_TRUE(bytes.ok());
+    const auto read = decodeDelta(*bytes);
+    ASSERT_TRUE(read.ok()) << read.status();
+    EXPECT_EQ(*read, makeDelta());
+}
+
+TEST_F(gateway_peer_codec_test, Heartbeat_WrittenAndRead_IsTheSame)
+{
+    auto heartbeat = makeHeartbeat();
+    heartbeat.delta = makeDelta();
+    const auto read = decodeHeartbeat(*encodeHeartbeat(heartbeat));
+    ASSERT_TRUE(read.ok()) << read.status();
+    EXPECT_EQ(*read, heartbeat);
+}
+
+TEST_F(gateway_peer_codec_test, Heartbeat_WithMostPeers_FitsADatagram)
+{
+    auto heartbeat = makeHeartbeat();
+    heartbeat.peers.assign(24, { "255.255.255.255", "a-data-centre", 14999ms });
+    EXPECT_TRUE(encodeHeartbeat(heartbeat).ok());
+}
+
+TEST_F(gateway_peer_codec_test, Heartbeat_TooLarge_Refused)
+{
+    auto heartbeat = makeHeartbeat();
+    heartbeat.peers.assign(200, { "255.255.255.255", "a-data-centre", 1ms });
+    EXPECT_FALSE(encodeHeartbeat(heartbeat).ok());
+}
+
+TEST_F(gateway_peer_codec_test, Bytes_OfAnotherVersion_Refused)
+{
+    auto bytes = *encodeHeartbeat(makeHeartbeat());
+    bytes[0] = 9;
+    EXPECT_FALSE(decodeHeartbeat(bytes).ok());
+}
+
+/// Anybody may send to the port: whatever comes is read or refused, never more.
+TEST_F(gateway_peer_codec_test, Bytes_Mutated_ReadOrRefused)
+{
+    auto heartbeat = makeHeartbeat();
+    heartbeat.delta = makeDelta();
+    const auto good = *encodeHeartbeat(heartbeat);
+    for (std::uint32_t seed = 1; seed <= 20000; ++seed) {
+        std::mt19937 random(seed);
+        auto bytes = good;
+        for (int change = 0; change < 1 + static_cast<int>(random() % 4); ++change)
+            bytes[random() % bytes.size()] = static_cast<char>(random());
+        if (random() % 4 == 0)
+            bytes.resize(random() % bytes.size());
+        (void)decodeHeartbeat(bytes);
+    }
+}
+
+} // namespace
+} // namespace acaciaslip::protocol
--- /dev/null
+++ b/tests/protocol/server_dialect_test.cpp
@@ -0,0 +1,114 @@
+#include "protocol/server_dialect.hpp"
+
+#include <gtest/gtest.h>
+
+namespace acaciaslip::protocol {
+namespace {
+
+using state::attempt_outcome;
+
+class server_dialect_test : public testing::Test {
+protected:
+    server_dialect_test()
+    {
+        m_dialect.successNeedsSignature = true;
+        m_request.method = "POST";
+        m_request.target = "/a?b=c";
+        m_request.headers = { { "Host", "x.example" }, { "Acaciaslip-Request", "r1" }, { "Request-Timeout-Ms", "9000" },
+            { "Connection", "keep-alive, X-Hop" }, { "X-Hop", "1" }, { "X-Kept", "2" } };
+        m_request.body = "hello";
+        m_answer.status = 200;
+        m_answer.reason = "OK";
+        m_answer.headers = { { "Acaciaslip-Request", "r1" }, { "Acaciaslip-Signature", "s" } };
+        m_answer.body = "body";
+    }
+
+    static bool has(const std::string& text, std::string_view part) { return text.find(part) != std::string::npos; }
+
+    server_dialect m_dialect;
+    http::message m_request;
+    http::message m_answer;
+};
+
+TEST_F(server_dialect_test, Request_Forwarded_OwnHeadersReplacedAndOthersKept)
+{
+    const auto written = writeServerRequest(m_dialect, m_request, "s7", 1500);
+    EXPECT_TRUE(written.starts_with("POST /a?b=c HTTP/1.1\r\n"));
+    EXPECT_TRUE(has(written, "Request-Timeout-Ms: 1500\r\n"));
+    EXPECT_FALSE(has(written, "9000"));
+    EXPECT_TRUE(has(written, "Acaciaslip-Expect-Server: s7\r\n"));
+    EXPECT_TRUE(has(written, "X-Kept: 2\r\n"));
+    EXPECT_FALSE(has(written, "X-Hop"));
+    EXPECT_TRUE(written.ends_with("Content-Length: 5\r\n\r\nhello"));
+}
+
+TEST_F(server_dialect_test, Answer_Signed_Answered)
+{
+    EXPECT_EQ(readAttemptAnswer(m_dialect, m_answer).outcome, attempt_outcome::answered);
+}
+
+TEST_F(server_dialect_test, Answer_SuccessWithoutSignature_Mismatched)
+{
+    m_answer.headers.pop_back();
+    EXPECT_EQ(readAttemptAnswer(m_dialect, m_answer).outcome, attempt_outcome::mismatched);
+}
+
+TEST_F(server_dialect_test, Answer_Encoded_Mismatched)
+{
+    m_answer.headers.push_back({ "Content-Encoding", "gzip" });
+    EXPECT_EQ(readAttemptAnswer(m_dialect, m_answer).outcome, attempt_outcome::mismatched);
+}
+
+TEST_F(server_dialect_test, Answer_Unavailable_NotRunOnlyWithProof)
+{
+    m_answer.status = 503;
+    EXPECT_EQ(readAttemptAnswer(m_dialect, m_answer).outcome, attempt_outcome::answered);
+    m_answer.headers.push_back({ "Acaciaslip-Not-Run", "1" });
+    EXPECT_EQ(readAttemptAnswer(m_dialect, m_answer).outcome, attempt_outcome::shed);
+}
+
+TEST_F(server_dialect_test, Answer_OfAnotherServer_Shed)
+{
+    m_answer.status = 421;
+    m_answer.headers.clear();
+    EXPECT_EQ(readAttemptAnswer(m_dialect, m_answer).outcome, attempt_outcome::shed);
+}
+
+TEST_F(server_dialect_test, Answer_WithAnotherId_IsNotTheAwaitedOne)
+{
+    EXPECT_TRUE(answersRequest(m_dialect, m_answer, "r1"));
+    EXPECT_FALSE(answersRequest(m_dialect, m_answer, "r2"));
+    EXPECT_FALSE(answersQuestion(m_dialect, m_answer));
+}
+
+TEST_F(server_dialect_test, Answer_WithoutLength_IsGivenNone)
+{
+    m_answer.endsWithConnection = true;
+    EXPECT_FALSE(has(writeCallerAnswer(m_answer, false, false), "Content-Length"));
+    m_answer.endsWithConnection = false;
+    EXPECT_TRUE(has(writeCallerAnswer(m_answer, false, true), "Content-Length: 4\r\n"));
+}
+
+TEST_F(server_dialect_test, Answer_ToHead_TellsTheServersLengthWithoutBody)
+{
+    m_answer.headers.push_back({ "Content-Length", "99" });
+    m_answer.body.clear();
+    const auto written = writeCallerAnswer(m_answer, true, true);
+    EXPECT_TRUE(has(written, "Content-Length: 99\r\n"));
+    EXPECT_TRUE(written.ends_with("\r\n\r\n"));
+}
+
+TEST_F(server_dialect_test, Question_AnsweredByOtherServer_Told)
+{
+    http::message answer;
+    answer.status = 200;
+    answer.headers = { { "Acaciaslip-Server", "s8" } };
+    using coordination::gateway::ask_outcome;
+    EXPECT_EQ(readAskAnswer(m_dialect, answer, "s7").outcome, ask_outcome::other_server);
+    EXPECT_EQ(readAskAnswer(m_dialect, answer, "s8").outcome, ask_outcome::healthy);
+    answer.status = 503;
+    EXPECT_EQ(readAskAnswer(m_dialect, answer, "s8").outcome, ask_outcome::unhealthy);
+}
+
+} // namespace
+} // namespace acaciaslip::protocol
--- /dev/null
+++ b/tests/transport/loop/caller_edge_test.cpp
@@ -0,0 +1,157 @@
+#include "transport/loop/caller_edge.hpp"
+
+#include "transport/loop/loop_fixture.hpp"
+
+namespace acaciaslip::transport::loop {
+namespace {
+
+namespace gateway = coordination::gateway;
+
+constexpr const char* lookup = "GET /a HTTP/1.1\r\nHost: x\r\nAcaciaslip-Request: r\r\n\r\n";
+
+class loop_caller_edge_test : public loop_fixture {
+protected:
+    loop_caller_edge_test()
+    {
+        EXPECT_TRUE(m_edge.listen("127.0.0.1:0").ok());
+        m_client = connect("127.0.0.1:" + std::to_string(m_edge.port()));
+    }
+    ~loop_caller_edge_test() override { m_edge.close(); }
+
+    /// Sends bytes and waits until so many requests have arrived.
+    void send(const std::string& bytes, std::size_t arrived)
+    {
+        ASSERT_TRUE(runUntil([this] { return m_client->stream != nullptr; }));
+        m_client->stream->write(bytes);
+        ASSERT_TRUE(runUntil([this, arrived] { return m_arrived.size() >= arrived; }));
+    }
+
+    void answer(std::size_t index, const std::string& body, bool close = false)
+    {
+        protocol::http::message answer;
+        answer.status = 200;
+        answer.reason = "OK";
+        answer.body = body;
+        m_edge.answer({ m_arrived.at(index).id, {}, close }, answer);
+    }
+
+    bool receives(const std::string& text)
+    {
+        return runUntil([this, text] { return m_client->received.find(text) != std::string::npos; }, 2s);
+    }
+
+    protocol::server_dialect m_dialect;
+    std::vector<gateway::request_arrived> m_arrived;
+    std::vector<gateway::caller_gone> m_gone;
+    caller_edge m_edge { &m_loop, m_dialect, [this](gateway::event happened) {
+                            if (const auto* arrived = std::get_if<gateway::request_arrived>(&happened))
+                                m_arrived.push_back(*arrived);
+                            else if (const auto* gone = std::get_if<gateway::caller_gone>(&happened))
+                                m_gone.push_back(*gone);
+                        } };
+    std::shared_ptr<raw_end> m_client;
+};
+
+TEST_F(loop_caller_edge_test, Request_Arrives_EventSaysWhatItIs)
+{
+    send("GET /a/b?c=d HTTP/1.1\r\nHost: X.example:80\r\nAcaciaslip-Request: r7\r\nRequest-Timeout-Ms: 250\r\n\r\n", 1);
+    EXPECT_EQ(m_arrived[0].host, "X.example");
+    EXPECT_EQ(m_arrived[0].path, "/a/b");
+    EXPECT_EQ(m_arrived[0].callerRequestId, "r7");
+    EXPECT_EQ(m_arrived[0].callerWaits, 250ms);
+}
+
+TEST_F(loop_caller_edge_test, Requests_Pipelined_AnsweredInTheirOrder)
+{
+    send(std::string(lookup) + lookup, 2);
+    answer(1, "second");
+    run(50ms);
+    EXPECT_TRUE(m_client->received.empty());
+    answer(0, "first");
+    ASSERT_TRUE(receives("second"));
+    EXPECT_LT(m_client->received.find("first"), m_client->received.find("second"));
+}
+
+TEST_F(loop_caller_edge_test, Requests_BehindAClosingAnswer_CountAsNotRead)
+{
+    send(std::string(lookup) + lookup, 2);
+    answer(0, "first", true);
+    ASSERT_TRUE(receives("Connection: close"));
+    ASSERT_EQ(m_gone.size(), 1U);
+    EXPECT_EQ(m_gone[0].id, m_arrived[1].id);
+    EXPECT_TRUE(runUntil([this] { return m_client->ended; }));
+}
+
+TEST_F(loop_caller_edge_test, Caller_Closes_RequestInProgressIsGone)
+{
+    send(lookup, 1);
+    m_client->stream->close();
+    EXPECT_TRUE(runUntil([this] { return !m_gone.empty(); }));
+    EXPECT_EQ(m_edge.findRequest(m_arrived[0].id), nullptr);
+}
+
+TEST_F(loop_caller_edge_test, Refusal_NotRun_IsUnavailableWithRetryAfter)
+{
+    send(lookup, 1);
+    gateway::refuse_caller refusal;
+    refusal.id = m_arrived[0].id;
+    refusal.reason = state::refusal_reason::overloaded;
+    refusal.retryAfter = 150ms;
+    m_edge.refuse(refusal);
+    ASSERT_TRUE(receives("\r\n\r\n"));
+    EXPECT_TRUE(m_client->received.starts_with("HTTP/1.1 503 "));
+    EXPECT_TRUE(receives("Retry-After: 0.150\r\n"));
+}
+
+TEST_F(loop_caller_edge_test, Refusal_MayHaveRun_PromisesNothing)
+{
+    send(std::string(lookup) + lookup, 2);
+    gateway::refuse_caller refusal { m_arrived[0].id, state::refusal_reason::broken_answer,
+        state::verdict::may_have_run, {}, false };
+    m_edge.refuse(refusal);
+    refusal.id = m_arrived[1].id;
+    refusal.reason = state::refusal_reason::deadline_exceeded;
+    m_edge.refuse(refusal);
+    ASSERT_TRUE(receives("HTTP/1.1 504 "));
+    EXPECT_TRUE(m_client->received.starts_with("HTTP/1.1 502 "));
+}
+
+TEST_F(loop_caller_edge_test, Request_Malformed_RefusedAndClosed)
+{
+    send("GARBAGE\r\n\r\n", 0);
+    ASSERT_TRUE(receives("HTTP/1.1 400 "));
+    EXPECT_TRUE(runUntil([this] { return m_client->ended; }));
+}
+
+TEST_F(loop_caller_edge_test, Caller_WaitsToSendItsBody_IsToldToContinue)
+{
+    send("POST /a HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n", 0);
+    ASSERT_TRUE(receives("100 Continue"));
+    send("ab", 1);
+    EXPECT_EQ(m_edge.findRequest(m_arrived[0].id)->body, "ab");
+}
+
+TEST_F(loop_caller_edge_test, Leaving_IdleConnectionEnds_BusyOneEndsAfterItsAnswer)
+{
+    const auto idle = connect("127.0.0.1:" + std::to_string(m_edge.port()));
+    send(lookup, 1);
+    run(50ms);
+    m_edge.leave();
+    ASSERT_TRUE(runUntil([&] { return idle->ended; }));
+    EXPECT_FALSE(m_client->ended);
+    answer(0, "done", true);
+    ASSERT_TRUE(receives("done"));
+    EXPECT_TRUE(runUntil([this] { return m_client->ended; }));
+}
+
+TEST_F(loop_caller_edge_test, Connection_IdleTooLong_IsClosed)
+{
+    connection_limits limits;
+    limits.idleTimeout = 50ms;
+    m_edge.setLimits(limits);
+    const auto idle = connect("127.0.0.1:" + std::to_string(m_edge.port()));
+    EXPECT_TRUE(runUntil([&] { return idle->ended; }, 1s));
+}
+
+} // namespace
+} // namespace acaciaslip::transport::loop
--- /dev/null
+++ b/tests/transport/loop/gateway_daemon_test.cpp
@@ -0,0 +1,129 @@
+#include "transport/loop/gateway_daemon.hpp"
+
+#include "protocol/gateway_peer_codec.hpp"
+#include "transport/loop/loop_fixture.hpp"
+
+namespace acaciaslip::transport::loop {
+namespace {
+
+namespace gateway = coordination::gateway;
+
+/// One whole daemon between raw callers and raw servers, on one loop.
+class gateway_daemon_test : public testing::Test {
+protected:
+    gateway_daemon_test()
+        : m_daemon(makeSettings())
+        , m_server(m_daemon.loop())
+    {
+        EXPECT_TRUE(m_daemon.start().ok());
+        m_server.onBytes = [](raw_end& end) {
+            if (end.received.find("\r\n\r\n") == std::string::npos)
+                return;
+            const bool asked = end.received.starts_with("GET /health");
+            end.received.clear();
+            end.stream->write(asked ? "HTTP/1.1 200 OK\r\nAcaciaslip-Server: s1\r\nContent-Length: 0\r\n\r\n"
+                                    : "HTTP/1.1 200 OK\r\nAcaciaslip-Request: r1\r\nContent-Length: 4\r\n\r\ndone");
+        };
+    }
+
+    static gateway_settings makeSettings()
+    {
+        gateway_settings settings;
+        settings.node.id = "entry-1";
+        settings.node.dataCentre = "dc-a";
+        settings.callers = "127.0.0.1:0";
+        settings.health = "127.0.0.1:0";
+        settings.operators = "127.0.0.1:0";
+        settings.lowestLevel = coordination::log_level::error;
+        return settings;
+    }
+
+    void publish()
+    {
+        state::gateway::fleet_delta delta { true, 0, {} };
+        delta.changes.asOf = 3;
+        auto& config = delta.changes.config.value.emplace();
+        delta.changes.config.number = 1;
+        config.version = 1;
+        config.routes
+            = { { "r", "x", "/", state::gateway::request_kind::idempotent, 600ms, 1200ms, 2, 1, { { "a", 1 } } } };
+        config.services = { { "a", "/health", 100, 3s, 3.4 } };
+        delta.changes.servers["s1"]
+            = { 2, state::gateway::server_entry { "s1", "a", m_server.address(), "dc-a", 4, false, {}, 1 } };
+        m_daemon.post(gateway::fleet_published { delta, gateway::fleet_source::store });
+    }
+
+    std::shared_ptr<raw_end> call(int port, const std::string& bytes)
+    {
+        auto end = std::make_shared<raw_end>();
+        auto callbacks = fill(end);
+        callbacks.connected = [end, bytes] {
+            end->stream->startReading();
+            end->stream->write(bytes);
+        };
+        end->stream = tcp_stream::connect(
+            m_daemon.loop(), *parseAddress("127.0.0.1:" + std::to_string(port)), std::move(callbacks));
+        return end;
+    }
+
+    bool runUntil(const std::function<bool()>& holds)
+    {
+        const auto limit = bootNow() + 5s;
+        timer wake(m_daemon.loop(), [] {});
+        while (!holds() && bootNow() < limit) {
+            wake.start(20ms);
+            uv_run(m_daemon.loop(), UV_RUN_ONCE);
+        }
+        wake.stop();
+        return holds();
+    }
+
+    gateway_daemon m_daemon;
+    raw_server m_server;
+};
+
+TEST_F(gateway_daemon_test, Request_WholePath_AskedSentAndAnswered)
+{
+    publish();
+    const auto caller = call(m_daemon.callersPort(), "GET /a HTTP/1.1\r\nHost: x\r\nAcaciaslip-Request: r1\r\n\r\n");
+    EXPECT_TRUE(runUntil([&] { return caller->received.ends_with("done"); })) << caller->received;
+}
+
+TEST_F(gateway_daemon_test, Node_WithoutSettings_RefusesAsNotRun)
+{
+    const auto caller = call(m_daemon.callersPort(), "GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
+    EXPECT_TRUE(runUntil([&] { return caller->received.starts_with("HTTP/1.1 503 "); }));
+}
+
+TEST_F(gateway_daemon_test, Metrics_AndDump_AreServed)
+{
+    publish();
+    const auto metrics = call(m_daemon.operatorsPort(), "GET /metrics HTTP/1.1\r\n\r\n");
+    ASSERT_TRUE(
+        runUntil([&] { return metrics->received.find("acaciaslip_configuration_version 1") != std::string::npos; }));
+    const auto dump = call(m_daemon.operatorsPort(), "GET /dump HTTP/1.1\r\n\r\n");
+    EXPECT_TRUE(runUntil([&] { return dump->received.find("\"path_prefix\":\"/\"") != std::string::npos; }));
+}
+
+TEST_F(gateway_daemon_test, Peer_Fetches_GetsThePublishedFleet)
+{
+    publish();
+    const auto peer = call(m_daemon.operatorsPort(), "GET /fleet?after=0 HTTP/1.1\r\nConnection: close\r\n\r\n");
+    ASSERT_TRUE(runUntil([&] { return peer->ended; }));
+    const auto body = peer->received.substr(peer->received.find("\r\n\r\n") + 4);
+    const auto delta = protocol::decodeDelta(body);
+    ASSERT_TRUE(delta.ok()) << delta.status();
+    EXPECT_EQ(delta->changes.servers.count("s1"), 1U);
+}
+
+TEST_F(gateway_daemon_test, Stop_Requested_DaemonEndsByItself)
+{
+    publish();
+    m_daemon.post(gateway::stop_requested {});
+    const auto before = bootNow();
+    m_daemon.run();
+    EXPECT_LT(bootNow() - before, 4s);
+}
+
+} // namespace
+} // namespace acaciaslip::transport::loop
--- /dev/null
+++ b/tests/transport/loop/loop_fixture.hpp
@@ -0,0 +1,112 @@
+#pragma once
+
+#include "transport/loop/boot_clock.hpp"
+#include "transport/loop/tcp_listener.hpp"
+#include "transport/loop/tcp_stream.hpp"
+#include "transport/loop/timer.hpp"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+#include <uv.h>
+
+namespace acaciaslip::transport::loop {
+
+using namespace std::chrono_literals;
+
+/// One end of a connection, driven by a test.
+struct raw_end {
+    std::shared_ptr<tcp_stream> stream;
+    std::string received;
+    bool ended = false;
+};
+
+/// Gives a stream callbacks that fill a raw end.
+inline stream_callbacks fill(
+    const std::shared_ptr<raw_end>& end, std::function<void()> changed = [] {})
+{
+    stream_callbacks callbacks;
+    callbacks.connected = [end] { end->stream->startReading(); };
+    callbacks.received = [end, changed](std::string_view bytes) {
+        end->received.append(bytes);
+        changed();
+    };
+    callbacks.ended = [end] { end->ended = true; };
+    callbacks.failed = [end](int) { end->ended = true; };
+    return callbacks;
+}
+
+/// A server whose bytes a test writes.
+class raw_server {
+public:
+    explicit raw_server(uv_loop_t* loop)
+        : m_listener(loop, [this](uv_stream_t* listener) {
+            auto end = std::make_shared<raw_end>();
+            end->stream = tcp_stream::accept(listener, fill(end, [this, weak = std::weak_ptr(end)] {
+                if (const auto reading = weak.lock(); reading && onBytes)
+                    onBytes(*reading);
+            }));
+            end->stream->startReading();
+            ends.push_back(end);
+        })
+    {
+        EXPECT_TRUE(m_listener.listen("127.0.0.1:0").ok());
+    }
+
+    ~raw_server()
+    {
+        for (const auto& end : ends)
+            end->stream->close();
+    }
+    raw_server(const raw_server&) = delete;
+    raw_server& operator=(const raw_server&) = delete;
+
+    [[nodiscard]] std::string address() const { return "127.0.0.1:" + std::to_string(m_listener.port()); }
+
+    std::function<void(raw_end&)> onBytes;
+    std::vector<std::shared_ptr<raw_end>> ends;
+
+private:
+    tcp_listener m_listener;
+};
+
+/// A loop that a test runs until something holds.
+class loop_fixture : public testing::Test {
+protected:
+    loop_fixture() { uv_loop_init(&m_loop); }
+    /// \return whether it held within some seconds
+    bool runUntil(const std::function<bool()>& holds, state::duration most = 5s)
+    {
+        bool late = false;
+        timer limit(&m_loop, [&] { late = true; });
+        limit.start(most);
+        while (!holds() && !late)
+            uv_run(&m_loop, UV_RUN_ONCE);
+        return holds();
+    }
+
+    void run(state::duration span)
+    {
+        bool over = false;
+        timer limit(&m_loop, [&] { over = true; });
+        limit.start(span);
+        while (!over)
+            uv_run(&m_loop, UV_RUN_ONCE);
+    }
+
+    std::shared_ptr<raw_end> connect(const std::string& address)
+    {
+        auto end = std::make_shared<raw_end>();
+        end->stream = tcp_stream::connect(&m_loop, *parseAddress(address), fill(end));
+        m_clients.push_back(end);
+        return end;
+    }
+
+    uv_loop_t m_loop {};
+    std::vector<std::shared_ptr<raw_end>> m_clients;
+};
+
+} // namespace acaciaslip::transport::loop
--- /dev/null
+++ b/tests/transport/loop/server_links_test.cpp
@@ -0,0 +1,129 @@
+#include "transport/loop/server_links.hpp"
+
+#include "transport/loop/loop_fixture.hpp"
+
+namespace acaciaslip::transport::loop {
+namespace {
+
+namespace gateway = coordination::gateway;
+
+class server_links_test : public loop_fixture {
+protected:
+    server_links_test()
+    {
+        m_request.method = "GET";
+        m_request.target = "/a";
+        m_request.headers = { { "Host", "x" }, { "Acaciaslip-Request", "r1" } };
+    }
+    ~server_links_test() override { m_links.close(); }
+
+    void answer(const std::string& bytes)
+    {
+        m_server.onBytes = [bytes](raw_end& end) {
+            end.received.clear();
+            end.stream->write(bytes);
+        };
+    }
+
+    gateway::ask_finished ask(std::uint64_t id)
+    {
+        m_asked.reset();
+        m_links.ask({ state::gateway::ask_id { id }, "s1", m_server.address(), "/health", 200ms });
+        EXPECT_TRUE(runUntil([this] { return m_asked.has_value(); }));
+        return m_asked.value_or(gateway::ask_finished {});
+    }
+
+    gateway::attempt_finished send(std::uint64_t id)
+    {
+        m_finished.reset();
+        m_links.send({ state::attempt_id { id }, {}, "s1", m_server.address(), 1s });
+        EXPECT_TRUE(runUntil([this] { return m_finished.has_value(); }));
+        return m_finished.value_or(gateway::attempt_finished {});
+    }
+
+    static constexpr const char* healthy = "HTTP/1.1 200 OK\r\nAcaciaslip-Server: s1\r\nContent-Length: 0\r\n\r\n";
+
+    protocol::server_dialect m_dialect;
+    protocol::http::message m_request;
+    raw_server m_server { &m_loop };
+    std::optional<gateway::ask_finished> m_asked;
+    std::optional<gateway::attempt_finished> m_finished;
+    server_links m_links { &m_loop, m_dialect,
+        [this](gateway::event happened) {
+            if (const auto* asked = std::get_if<gateway::ask_finished>(&happened))
+                m_asked = *asked;
+            else if (const auto* finished = std::get_if<gateway::attempt_finished>(&happened))
+                m_finished = *finished;
+        },
+        [this](state::request_id) { return &m_request; } };
+};
+
+TEST_F(server_links_test, QuestionThenRequest_OneConnectionCarriesBoth)
+{
+    answer(healthy);
+    EXPECT_EQ(ask(1).outcome, gateway::ask_outcome::healthy);
+    answer("HTTP/1.1 200 OK\r\nAcaciaslip-Request: r1\r\nContent-Length: 2\r\n\r\nhi");
+    EXPECT_EQ(send(1).outcome, state::attempt_outcome::answered);
+    EXPECT_EQ(m_links.takeAnswer(state::attempt_id { 1 }).body, "hi");
+    EXPECT_EQ(m_links.opened(), 1U);
+}
+
+TEST_F(server_links_test, KeptConnection_ForgottenByTheServer_QuestionIsAskedAnew)
+{
+    answer(healthy);
+    ask(1);
+    // The server drops the connection when the next question is on its way.
+    int bytes = 0;
+    m_server.onBytes = [&bytes](raw_end& end) {
+        if (++bytes == 1)
+            end.stream->close();
+        else
+            end.stream->write(healthy);
+    };
+    EXPECT_EQ(ask(2).outcome, gateway::ask_outcome::healthy);
+    EXPECT_EQ(m_links.opened(), 2U);
+}
+
+TEST_F(server_links_test, Server_Silent_QuestionEndsWithoutAnswer)
+{
+    EXPECT_EQ(ask(1).outcome, gateway::ask_outcome::no_answer);
+}
+
+TEST_F(server_links_test, Answer_BearsAnotherId_NeverTaken)
+{
+    answer("HTTP/1.1 200 OK\r\nAcaciaslip-Request: other\r\nContent-Length: 2\r\nConnection: close\r\n\r\nno");
+    EXPECT_EQ(send(1).outcome, state::attempt_outcome::cut);
+}
+
+TEST_F(server_links_test, Server_ProvesThatItDidNotRun_Shed)
+{
+    answer("HTTP/1.1 503 Busy\r\nAcaciaslip-Not-Run: 1\r\nContent-Length: 0\r\n\r\n");
+    EXPECT_EQ(send(1).outcome, state::attempt_outcome::shed);
+}
+
+TEST_F(server_links_test, Attempt_Cancelled_ConnectionIsClosed)
+{
+    m_links.send({ state::attempt_id { 1 }, {}, "s1", m_server.address(), 1s });
+    ASSERT_TRUE(runUntil([this] { return !m_server.ends.empty() && !m_server.ends[0]->received.empty(); }));
+    m_links.cancel(state::attempt_id { 1 });
+    EXPECT_TRUE(runUntil([this] { return m_server.ends[0]->ended; }));
+    EXPECT_FALSE(m_finished);
+}
+
+TEST_F(server_links_test, Server_AnswersBeforeItHasReadTheBody_ConnectionIsNotUsedAgain)
+{
+    m_request.method = "POST";
+    m_request.body.assign(8U << 20U, 'x');
+    m_server.onBytes = [](raw_end& end) {
+        end.stream->stopReading();
+        end.stream->write("HTTP/1.1 413 No\r\nAcaciaslip-Request: r1\r\nContent-Length: 0\r\n\r\n");
+    };
+    EXPECT_EQ(send(1).status, 413);
+    m_request.body.clear();
+    answer(healthy);
+    ask(2);
+    EXPECT_EQ(m_links.opened(), 2U);
+}
+
+} // namespace
+} // namespace acaciaslip::transport::loop
