Take back the budget kept for last tries; log every decision of a request

Change: the split of the budget is taken back. Lines for each send, attempt, wait, denied repeat and end, with what they rest on; at most 1,000 lines of information a second.

--- a/src/coordination/gateway/asking.cpp
+++ b/src/coordination/gateway/asking.cpp
@@ -4,6 +4,7 @@
 #include "coordination/gateway/completion_estimate.hpp"
 #include "coordination/gateway/due_requests.hpp"
 #include "coordination/gateway/request_end.hpp"
+#include "coordination/gateway/request_log.hpp"
 #include "coordination/gateway/retry_after.hpp"
 #include "coordination/gateway/sending.hpp"
 #include "coordination/gateway/server_health.hpp"
@@ -98,6 +99,7 @@
         return schedule(self, request);
     }
     const bool nobody = request.round->asked.empty();
+    effects.emplace_back(describeWait(request, nobody ? "nobody_to_ask" : "no_answer", {}, now));
     request.round.reset();
     if (nobody || request.rounds >= mostSilentRounds)
         return endWithRefusal(self, request, state::refusal_reason::no_server, now, random, effects);
@@ -128,6 +130,7 @@
     const auto typical = typicalWork(self, request.service, request.matched->objective);
     const auto pause = std::max(shortestPause, std::chrono::duration_cast<state::duration>(typical * pauseWorkShare));
     if (now + pause + typical <= request.objectiveAt) {
+        effects.emplace_back(describeWait(request, "all_slow", best.estimate.time, now));
         request.round.reset();
         request.askAgainAt = now + pause;
         return schedule(self, request);
--- a/src/coordination/gateway/node.hpp
+++ b/src/coordination/gateway/node.hpp
@@ -47,7 +47,6 @@
     std::vector<state::host_id> members; ///< every registered server
     std::optional<state::duration> typicalWork; ///< on an undisturbed server; learnt
     retry_allowance repeats;
-    state::duration longestWait {}; ///< that a caller of this service has said that it has
 };
 
 /// What a node has counted since it started. Read by the metrics and the dump.
--- a/src/coordination/gateway/request_end.cpp
+++ b/src/coordination/gateway/request_end.cpp
@@ -1,11 +1,10 @@
 #include "coordination/gateway/request_end.hpp"
 
 #include "coordination/gateway/due_requests.hpp"
+#include "coordination/gateway/request_log.hpp"
 #include "coordination/gateway/retry_after.hpp"
 #include "coordination/gateway/server_load.hpp"
 
-#include <fmt/format.h>
-
 namespace acaciaslip::coordination::gateway {
 
 namespace {
@@ -17,25 +16,6 @@
     return self.phase >= node_phase::leaving;
 }
 
-std::string milliseconds(state::duration span)
-{
-    return fmt::format("{:.1f}", state::toMilliseconds(span));
-}
-
-std::string joinTried(const pending_request& request)
-{
-    return fmt::format("{}", fmt::join(request.tried, ","));
-}
-
-log_event describe(const pending_request& request, std::string_view outcome, state::time_point now)
-{
-    return { log_level::info, "request",
-        { { "id", request.callerRequestId }, { "route", request.matched->name }, { "service", request.service },
-            { "config", std::to_string(request.config->version) }, { "outcome", std::string(outcome) },
-            { "ms", milliseconds(now - request.arrivedAt) }, { "servers", joinTried(request) },
-            { "sends", std::to_string(request.sends) }, { "rounds", std::to_string(request.rounds) } } };
-}
-
 void cancelRunning(node& self, const pending_request& request, effect_list& effects)
 {
     for (const auto& attempt : request.running) {
@@ -68,7 +48,8 @@
     state::time_point now, effect_list& effects)
 {
     countEnd(self, request, state::verdict::ran, now);
-    auto line = describe(request, "answered", now);
+    auto line = describeEnd(request, "answered", now);
+    line.fields.back().second = state::findName(state::verdictNames, state::verdict::ran);
     line.fields.emplace_back("server", answer.server);
     effects.emplace_back(std::move(line));
     effects.emplace_back(answer_caller { request.id, answer.attempt, isLeaving(self) });
@@ -86,10 +67,7 @@
     const auto outcome = verdictWithoutAnswer(request);
     countEnd(self, request, outcome, now);
     ++self.counters.refusals[reason];
-    auto line = describe(request, state::findName(state::refusalReasonNames, reason), now);
-    line.fields.emplace_back("verdict", state::findName(state::verdictNames, outcome));
-    line.fields.emplace_back("last", state::findName(state::attemptOutcomeNames, request.lastOutcome));
-    effects.emplace_back(std::move(line));
+    effects.emplace_back(describeEnd(request, state::findName(state::refusalReasonNames, reason), now));
     const auto retryAfter = findRetryAfter(self, request.service, reason, random);
     effects.emplace_back(refuse_caller { request.id, reason, outcome, retryAfter, isLeaving(self) });
     cancelRunning(self, request, effects);
@@ -99,7 +77,7 @@
 void endUnheard(node& self, pending_request& request, state::time_point now, effect_list& effects)
 {
     ++self.counters.callersGone;
-    effects.emplace_back(describe(request, "caller_gone", now));
+    effects.emplace_back(describeEnd(request, "caller_gone", now));
     if (request.fallback)
         effects.emplace_back(discard_answer { request.fallback->attempt });
     cancelRunning(self, request, effects);
--- a/src/coordination/gateway/request_flow.cpp
+++ b/src/coordination/gateway/request_flow.cpp
@@ -3,6 +3,7 @@
 #include "coordination/gateway/asking.hpp"
 #include "coordination/gateway/due_requests.hpp"
 #include "coordination/gateway/request_end.hpp"
+#include "coordination/gateway/request_log.hpp"
 #include "coordination/gateway/retry_after.hpp"
 #include "coordination/gateway/route_lookup.hpp"
 #include "coordination/gateway/sending.hpp"
@@ -23,16 +24,6 @@
 constexpr int firstServerError = 500;
 constexpr double newestWorkWeight = 0.1; ///< of an answer in a service's typical work
 
-/// Callers of a service begin with about the same time; one that has clearly less has used some of it elsewhere.
-bool hasLessTimeThanOthers(service_memory& service, std::optional<state::duration> callerWaits)
-{
-    constexpr double clearly = 0.99;
-    if (!callerWaits)
-        return false;
-    service.longestWait = std::max(service.longestWait, *callerWaits);
-    return *callerWaits < std::chrono::duration_cast<state::duration>(service.longestWait * clearly);
-}
-
 pending_request makeRequest(
     node& self, const request_arrived& arrived, const state::gateway::route& route, state::time_point now)
 {
@@ -48,7 +39,6 @@
     request.callerDeadline = now + arrived.callerWaits.value_or(route.timeout);
     request.answerBy = std::min(now + route.timeout, request.callerDeadline);
     request.dueAt = request.answerBy;
-    request.isReturning = hasLessTimeThanOthers(self.services[request.service], arrived.callerWaits);
     return request;
 }
 
@@ -106,8 +96,10 @@
 {
     if (!request.running.empty() || request.round)
         return schedule(self, request);
-    if (!mayRepeat(self, request, now))
+    if (!mayRepeat(self, request, now)) {
+        effects.emplace_back(describeDenial(self, request));
         return endWithRefusal(self, request, findReason(request), now, random, effects);
+    }
     beginRound(self, request, asking_reason::retry, now, random, effects);
 }
 
@@ -208,6 +200,7 @@
         = std::find_if(running.begin(), running.end(), [&](const auto& other) { return other.id == finished.id; });
     const auto attempt = *position;
     running.erase(position);
+    effects.emplace_back(describeAttempt(request, attempt, finished, now));
     noteServerBehaviour(self, request, attempt, finished, now);
     settleAttempt(self, request, attempt, finished, now, random, effects);
 }
--- /dev/null
+++ b/src/coordination/gateway/request_log.cpp
@@ -0,0 +1,85 @@
+#include "coordination/gateway/request_log.hpp"
+
+#include <fmt/format.h>
+
+namespace acaciaslip::coordination::gateway {
+
+namespace {
+
+using state::gateway::pending_request;
+
+std::string milliseconds(state::duration span)
+{
+    return fmt::format("{:.1f}", state::toMilliseconds(span));
+}
+
+/// What a server last said of its load: running, waiting and slots, its slowdown, and how old that is.
+std::string describeReport(const state::gateway::load_report& report, state::time_point now)
+{
+    return fmt::format("{}/{}/{}x{:.1f}@{}ms", report.running, report.waiting, report.slots, report.slowdown,
+        milliseconds(now - report.heardAt));
+}
+
+std::string text(std::string_view name)
+{
+    return std::string(name);
+}
+
+} // namespace
+
+log_event describeSend(const node& self, const pending_request& request, const state::host_id& server,
+    const completion_estimate& estimate, state::gateway::asking_reason reason, state::time_point now)
+{
+    const auto known = self.servers.find(server);
+    const bool reported = known != self.servers.end() && known->second.report;
+    return { log_level::info, "send",
+        { { "id", request.callerRequestId }, { "server", server },
+            { "why", text(state::findName(state::gateway::askingReasonNames, reason)) }, { "service", request.service },
+            { "expected_ms", milliseconds(estimate.time) },
+            { "load", reported ? describeReport(*known->second.report, now) : "unknown" },
+            { "config", std::to_string(request.config->version) },
+            { "revision", std::to_string(self.published.asOf) } } };
+}
+
+log_event describeAttempt(const pending_request& request, const state::gateway::running_attempt& attempt,
+    const attempt_finished& finished, state::time_point now)
+{
+    return { log_level::info, "attempt",
+        { { "id", request.callerRequestId }, { "server", attempt.server },
+            { "outcome", text(state::findName(state::attemptOutcomeNames, finished.outcome)) },
+            { "status", std::to_string(finished.status) }, { "ms", milliseconds(now - attempt.startedAt) } } };
+}
+
+log_event describeWait(
+    const pending_request& request, std::string_view why, state::duration best, state::time_point now)
+{
+    const auto asked = request.round ? request.round->asked.size() : 0;
+    const auto answered = request.round ? request.round->answered.size() : 0;
+    return { log_level::info, "wait",
+        { { "id", request.callerRequestId }, { "why", text(why) }, { "asked", std::to_string(asked) },
+            { "answered", std::to_string(answered) }, { "best_ms", milliseconds(best) },
+            { "ms", milliseconds(now - request.arrivedAt) } } };
+}
+
+log_event describeDenial(const node& self, const pending_request& request)
+{
+    return { log_level::info, "repeat_denied",
+        { { "id", request.callerRequestId }, { "service", request.service }, { "sends", std::to_string(request.sends) },
+            { "hosts", std::to_string(self.share.hosts) },
+            { "last", text(state::findName(state::attemptOutcomeNames, request.lastOutcome)) } } };
+}
+
+log_event describeEnd(const pending_request& request, std::string_view outcome, state::time_point now)
+{
+    return { log_level::info, "request",
+        { { "id", request.callerRequestId }, { "route", request.matched->name }, { "outcome", text(outcome) },
+            { "ms", milliseconds(now - request.arrivedAt) },
+            { "caller_ms", milliseconds(request.callerDeadline - request.arrivedAt) },
+            { "sends", std::to_string(request.sends) }, { "rounds", std::to_string(request.rounds) },
+            { "verdict",
+                text(state::findName(state::verdictNames,
+                    request.mayHaveRun || !request.running.empty() ? state::verdict::may_have_run
+                                                                   : state::verdict::not_run)) } } };
+}
+
+} // namespace acaciaslip::coordination::gateway
--- a/src/coordination/gateway/retry_allowance.cpp
+++ b/src/coordination/gateway/retry_allowance.cpp
@@ -11,9 +11,6 @@
 /// Part of the fleet's budget that is used: hosts count the window's edges differently.
 constexpr double usedShare = 0.85;
 
-/// Part of it that callers may use who can still come back.
-constexpr double firstTryShare = 0.5;
-
 /// Empties the buckets that the window has left.
 void advance(retry_allowance& allowance, const fleet_bounds& bounds, state::time_point now) noexcept
 {
@@ -47,8 +44,8 @@
     ++newestBucket(allowance).repeats;
 }
 
-bool mayRepeat(retry_allowance& allowance, const fleet_bounds& bounds, std::uint32_t hosts, repeat_use use,
-    state::time_point now) noexcept
+bool mayRepeat(
+    retry_allowance& allowance, const fleet_bounds& bounds, std::uint32_t hosts, state::time_point now) noexcept
 {
     advance(allowance, bounds, now);
     double requests = 0;
@@ -58,8 +55,7 @@
         repeats += bucket.repeats;
     }
     const double share = bounds.retrySlack / std::max<std::uint32_t>(hosts, 1);
-    const double usable = use == repeat_use::last_try ? usedShare : usedShare * firstTryShare;
-    return repeats + 1 <= usable * (bounds.retryRatio * requests + share);
+    return repeats + 1 <= usedShare * (bounds.retryRatio * requests + share);
 }
 
 } // namespace acaciaslip::coordination::gateway
--- a/src/coordination/gateway/retry_allowance.hpp
+++ b/src/coordination/gateway/retry_allowance.hpp
@@ -31,16 +31,9 @@
 /// Counts a second or later send of one request.
 void noteRepeat(retry_allowance& allowance, const fleet_bounds& bounds, state::time_point now) noexcept;
 
-/// Who would be helped by a repeat.
-enum class repeat_use {
-    first_try, ///< a caller that can still come back after a refusal, or a hedge
-    last_try, ///< a caller that has come back already
-};
-
-/// Whether one more repeat stays within this host's share. A part of the share is kept for callers that cannot come
-/// back: where a service sheds many requests, a repeat saves twice as many of those.
+/// Whether one more repeat stays within this host's share.
 /// \param hosts how many hosts share the fleet's slack
-[[nodiscard]] bool mayRepeat(retry_allowance& allowance, const fleet_bounds& bounds, std::uint32_t hosts,
-    repeat_use use, state::time_point now) noexcept;
+[[nodiscard]] bool mayRepeat(
+    retry_allowance& allowance, const fleet_bounds& bounds, std::uint32_t hosts, state::time_point now) noexcept;
 
 } // namespace acaciaslip::coordination::gateway
--- a/src/coordination/gateway/sending.cpp
+++ b/src/coordination/gateway/sending.cpp
@@ -2,13 +2,12 @@
 
 #include "coordination/gateway/due_requests.hpp"
 #include "coordination/gateway/request_end.hpp"
+#include "coordination/gateway/request_log.hpp"
 #include "coordination/gateway/retry_after.hpp"
 #include "coordination/gateway/server_load.hpp"
 
 #include <algorithm>
 
-#include <fmt/format.h>
-
 namespace acaciaslip::coordination::gateway {
 
 namespace {
@@ -35,17 +34,6 @@
     return at + typical < request.answerBy ? std::optional { at } : std::nullopt;
 }
 
-void logRepeat(const node& self, const pending_request& request, const state::host_id& server, asking_reason reason,
-    const completion_estimate& estimate, effect_list& effects)
-{
-    effects.emplace_back(log_event { log_level::info, "repeat",
-        { { "id", request.callerRequestId },
-            { "why", std::string(state::findName(state::gateway::askingReasonNames, reason)) }, { "server", server },
-            { "expected_ms", fmt::format("{:.1f}", state::toMilliseconds(estimate.time)) },
-            { "last", std::string(state::findName(state::attemptOutcomeNames, request.lastOutcome)) },
-            { "hosts", std::to_string(self.share.hosts) } } });
-}
-
 } // namespace
 
 bool mayRepeat(node& self, const pending_request& request, state::time_point now)
@@ -57,8 +45,7 @@
         || request.sends >= request.matched->attempts + mostRefusedSends)
         return false;
     const bool allowed = request.sends == 0
-        || mayRepeat(self.services[request.service].repeats, self.settings.bounds, self.share.hosts,
-            request.isReturning && request.running.empty() ? repeat_use::last_try : repeat_use::first_try, now);
+        || mayRepeat(self.services[request.service].repeats, self.settings.bounds, self.share.hosts, now);
     self.counters.repeatsDenied += allowed ? 0 : 1;
     return allowed;
 }
@@ -68,15 +55,16 @@
 {
     request.round.reset();
     if (!mayRepeat(self, request, now)) {
+        effects.emplace_back(describeDenial(self, request));
         if (reason == asking_reason::hedge)
             return schedule(self, request);
         return endWithRefusal(self, request, state::refusal_reason::overloaded, now, random, effects);
     }
     if (request.sends > 0) {
         noteRepeat(self.services[request.service].repeats, self.settings.bounds, now);
-        logRepeat(self, request, server, reason, estimate, effects);
         ++(reason == asking_reason::hedge ? self.counters.hedges : self.counters.retries);
     }
+    effects.emplace_back(describeSend(self, request, server, estimate, reason, now));
     const auto id = state::attempt_id { self.nextAttempt++ };
     self.attempts[static_cast<std::uint64_t>(id)] = { request.id, server };
     noteSend(self, server, now);
--- a/src/state/gateway/pending_request.hpp
+++ b/src/state/gateway/pending_request.hpp
@@ -71,7 +71,6 @@
     time_point objectiveAt; ///< an answer after this is worth little
     time_point answerBy; ///< the earlier of the route's timeout and the caller's deadline
     time_point callerDeadline;
-    bool isReturning = false; ///< the caller has less time than others: it was refused before
 
     std::optional<asking_round> round;
     std::optional<time_point> askAgainAt; ///< no server was good enough: ask anew then
--- a/src/transport/loop/log_writer.cpp
+++ b/src/transport/loop/log_writer.cpp
@@ -1,6 +1,7 @@
 #include "transport/loop/log_writer.hpp"
 
 #include "transport/logger.hpp"
+#include "transport/loop/boot_clock.hpp"
 
 #include <cerrno>
 
@@ -11,6 +12,8 @@
 
 namespace {
 
+/// Lines of the level info in a second: about a hundred requests with every line that they may have.
+constexpr std::uint32_t mostLinesInSecond = 1000;
 constexpr std::size_t mostPendingBytes = 131072; ///< some hundred lines: a reader may stall for a moment
 
 } // namespace
@@ -28,7 +31,7 @@
 {
     if (event.level < m_lowest)
         return;
-    if (m_pending.size() >= mostPendingBytes) {
+    if (m_pending.size() >= mostPendingBytes || !hasRoom(event.level)) {
         ++m_dropped;
         return;
     }
@@ -41,6 +44,18 @@
     m_pending += '\n';
 }
 
+bool log_writer::hasRoom(coordination::log_level level)
+{
+    if (level > coordination::log_level::info)
+        return true;
+    const auto now = bootNow();
+    if (now - m_secondBegan >= std::chrono::seconds { 1 }) {
+        m_secondBegan = now;
+        m_linesInSecond = 0;
+    }
+    return ++m_linesInSecond <= mostLinesInSecond;
+}
+
 void log_writer::flush()
 {
     while (!m_pending.empty()) {
