--- a/src/coordination/gateway/ask_choice.cpp
+++ b/src/coordination/gateway/ask_choice.cpp
@@ -40,7 +40,7 @@
 
 /// Pattern: too many connections. In a large service each host keeps to a subset of the servers, its own by the hash
 /// of both names, so that a few kept connections serve it; the others are asked when the subset has no good server.
-bool isInSubset(const node& self, const state::gateway::server_state& server, std::size_t members)
+bool isInSubset(const gateway_node& self, const state::gateway::server_state& server, std::size_t members)
 {
     const auto& host = self.settings.id;
     const auto& id = server.entry.id;
@@ -48,7 +48,8 @@
     return hash % members < subsetSize;
 }
 
-double rankOf(const node& self, const state::gateway::server_state& server, std::size_t members, state::time_point now)
+double rankOf(
+    const gateway_node& self, const state::gateway::server_state& server, std::size_t members, state::time_point now)
 {
     double rank = server.entry.dataCentre == self.settings.dataCentre ? 0 : rankOtherDataCentre;
     if (!isInSubset(self, server, members))
@@ -74,7 +75,8 @@
     return !server.entry.draining && !server.evacuated && (!server.goneAt || now < *server.goneAt);
 }
 
-bool mayTakeWhileCold(const node& self, const state::gateway::server_state& server, state::time_point now) noexcept
+bool mayTakeWhileCold(
+    const gateway_node& self, const state::gateway::server_state& server, state::time_point now) noexcept
 {
     if (now >= server.coldUntil)
         return true;
@@ -83,7 +85,7 @@
     return isColdTurn(server.coldUntil, perSecond, self.share, server.lastColdSendAt, now);
 }
 
-std::vector<state::host_id> chooseServersToAsk(const node& self, const state::gateway::pending_request& request,
+std::vector<state::host_id> chooseServersToAsk(const gateway_node& self, const state::gateway::pending_request& request,
     std::size_t most, state::time_point now, random_generator& random)
 {
     struct candidate {
--- a/src/coordination/gateway/asking.cpp
+++ b/src/coordination/gateway/asking.cpp
@@ -41,7 +41,7 @@
 }
 
 /// The server that should answer first, among those that have answered the round's question.
-choice findBest(node& self, const pending_request& request, state::time_point now)
+choice findBest(gateway_node& self, const pending_request& request, state::time_point now)
 {
     const auto typical = typicalWork(self, request.service, request.matched->objective);
     choice best;
@@ -57,7 +57,7 @@
     return best;
 }
 
-bool isGood(const node& self, const pending_request& request, const choice& best)
+bool isGood(const gateway_node& self, const pending_request& request, const choice& best)
 {
     const auto typical = typicalWork(self, request.service, request.matched->objective);
     return best.server != nullptr && best.estimate.startsAtOnce
@@ -65,15 +65,15 @@
 }
 
 /// A good server of the own data centre is taken before the others have answered, if the request can be repeated.
-bool mayTakeFirst(node& self, const pending_request& request, const choice& best)
+bool mayTakeFirst(gateway_node& self, const pending_request& request, const choice& best)
 {
     const auto* server = findServer(self, *best.server);
     return request.matched->kind == state::gateway::request_kind::idempotent
         && server->entry.dataCentre == self.settings.dataCentre;
 }
 
-void askMore(node& self, pending_request& request, std::size_t most, state::duration window, state::time_point now,
-    random_generator& random, effect_list& effects)
+void askMore(gateway_node& self, pending_request& request, std::size_t most, state::duration window,
+    state::time_point now, random_generator& random, effect_list& effects)
 {
     auto& round = *request.round;
     for (const auto& id : chooseServersToAsk(self, request, most, now, random)) {
@@ -92,7 +92,7 @@
 
 /// Lets the request try again later, or gives it up, when no server has answered.
 void settleSilence(
-    node& self, pending_request& request, state::time_point now, random_generator& random, effect_list& effects)
+    gateway_node& self, pending_request& request, state::time_point now, random_generator& random, effect_list& effects)
 {
     if (request.round->reason == asking_reason::hedge) {
         request.round.reset();
@@ -108,7 +108,7 @@
 }
 
 /// A second server is asked in vain: the first one may still be in time, or a second one later.
-void settleHedge(node& self, pending_request& request, const choice& best, state::time_point now,
+void settleHedge(gateway_node& self, pending_request& request, const choice& best, state::time_point now,
     random_generator& random, effect_list& effects)
 {
     const auto typical = typicalWork(self, request.service, request.matched->objective);
@@ -123,7 +123,7 @@
 }
 
 /// No server will do well. Waiting helps while a request that starts later could still meet its objective.
-void settleOverload(node& self, pending_request& request, const choice& best, state::time_point now,
+void settleOverload(gateway_node& self, pending_request& request, const choice& best, state::time_point now,
     random_generator& random, effect_list& effects)
 {
     const auto reason = request.round->reason;
@@ -141,8 +141,8 @@
     endWithRefusal(self, request, state::refusal_reason::overloaded, now, random, effects);
 }
 
-void settle(node& self, pending_request& request, const choice& best, state::time_point now, random_generator& random,
-    effect_list& effects)
+void settle(gateway_node& self, pending_request& request, const choice& best, state::time_point now,
+    random_generator& random, effect_list& effects)
 {
     if (best.server == nullptr)
         return settleSilence(self, request, now, random, effects);
@@ -155,7 +155,7 @@
 }
 
 void consider(
-    node& self, pending_request& request, state::time_point now, random_generator& random, effect_list& effects)
+    gateway_node& self, pending_request& request, state::time_point now, random_generator& random, effect_list& effects)
 {
     auto& round = *request.round;
     const auto best = findBest(self, request, now);
@@ -179,7 +179,7 @@
     settle(self, request, best, now, random, effects);
 }
 
-void takeAnswer(node& self, const ask_finished& finished, state::time_point now)
+void takeAnswer(gateway_node& self, const ask_finished& finished, state::time_point now)
 {
     auto* const server = findServer(self, finished.server);
     if (server == nullptr)
@@ -194,7 +194,7 @@
 
 } // namespace
 
-void beginRound(node& self, pending_request& request, asking_reason reason, state::time_point now,
+void beginRound(gateway_node& self, pending_request& request, asking_reason reason, state::time_point now,
     random_generator& random, effect_list& effects)
 {
     request.askAgainAt.reset();
@@ -209,8 +209,8 @@
     schedule(self, request);
 }
 
-void noteAskFinished(
-    node& self, const ask_finished& finished, state::time_point now, random_generator& random, effect_list& effects)
+void noteAskFinished(gateway_node& self, const ask_finished& finished, state::time_point now, random_generator& random,
+    effect_list& effects)
 {
     ++self.counters.asksByOutcome[finished.outcome];
     takeAnswer(self, finished, now);
@@ -235,7 +235,7 @@
 }
 
 void advanceRound(
-    node& self, pending_request& request, state::time_point now, random_generator& random, effect_list& effects)
+    gateway_node& self, pending_request& request, state::time_point now, random_generator& random, effect_list& effects)
 {
     consider(self, request, now, random, effects);
 }
--- a/src/coordination/gateway/due_requests.cpp
+++ b/src/coordination/gateway/due_requests.cpp
@@ -4,7 +4,7 @@
 
 namespace acaciaslip::coordination::gateway {
 
-void schedule(node& self, state::gateway::pending_request& request)
+void schedule(gateway_node& self, state::gateway::pending_request& request)
 {
     unschedule(self, request);
     auto due = request.answerBy;
@@ -18,7 +18,7 @@
     self.due.emplace(due, static_cast<std::uint64_t>(request.id));
 }
 
-void unschedule(node& self, const state::gateway::pending_request& request)
+void unschedule(gateway_node& self, const state::gateway::pending_request& request)
 {
     self.due.erase({ request.dueAt, static_cast<std::uint64_t>(request.id) });
 }
--- a/src/coordination/gateway/due_requests.hpp
+++ b/src/coordination/gateway/due_requests.hpp
@@ -5,9 +5,9 @@
 namespace acaciaslip::coordination::gateway {
 
 /// Puts a request at its place in the queue of due requests, as what it waits for now says.
-void schedule(node& self, state::gateway::pending_request& request);
+void schedule(gateway_node& self, state::gateway::pending_request& request);
 
 /// Takes a request out of the queue.
-void unschedule(node& self, const state::gateway::pending_request& request);
+void unschedule(gateway_node& self, const state::gateway::pending_request& request);
 
 } // namespace acaciaslip::coordination::gateway
--- a/src/coordination/gateway/fleet_relay.cpp
+++ b/src/coordination/gateway/fleet_relay.cpp
@@ -13,7 +13,7 @@
 constexpr state::duration fetchPatience = std::chrono::milliseconds { 800 };
 
 /// The peer that knows most; those of the own data centre go first among equals.
-const state::gateway::peer_ip* findBestSource(const node& self)
+const state::gateway::peer_ip* findBestSource(const gateway_node& self)
 {
     const state::gateway::peer_ip* best = nullptr;
     state::revision most = self.published.asOf;
@@ -31,7 +31,8 @@
 
 } // namespace
 
-void noteRelay(node& self, const state::gateway::peer_heartbeat& message, state::time_point now, effect_list& effects)
+void noteRelay(
+    gateway_node& self, const state::gateway::peer_heartbeat& message, state::time_point now, effect_list& effects)
 {
     if (message.delta)
         notePublished(self, { *message.delta, fleet_source::peer }, now, effects);
@@ -41,13 +42,13 @@
     self.relay.fetchAt = now + (expectsStore ? storeLead : state::duration {});
 }
 
-void noteFetchEnded(node& self, state::time_point now, effect_list& effects)
+void noteFetchEnded(gateway_node& self, state::time_point now, effect_list& effects)
 {
     self.relay.fetchEndsAt.reset();
     advanceRelay(self, now, effects);
 }
 
-void advanceRelay(node& self, state::time_point now, effect_list& effects)
+void advanceRelay(gateway_node& self, state::time_point now, effect_list& effects)
 {
     if (self.relay.fetchEndsAt && now >= *self.relay.fetchEndsAt)
         self.relay.fetchEndsAt.reset();
@@ -64,7 +65,7 @@
         effects.emplace_back(refresh_store {});
 }
 
-std::optional<state::time_point> nextRelayStep(const node& self) noexcept
+std::optional<state::time_point> nextRelayStep(const gateway_node& self) noexcept
 {
     if (!self.relay.fetchAt)
         return std::nullopt;
--- a/src/coordination/gateway/fleet_relay.hpp
+++ b/src/coordination/gateway/fleet_relay.hpp
@@ -8,15 +8,16 @@
 /// fits a datagram comes with a heartbeat, the rest is fetched from whoever says that it knows more.
 
 /// Takes what a heartbeat says of the published fleet.
-void noteRelay(node& self, const state::gateway::peer_heartbeat& message, state::time_point now, effect_list& effects);
+void noteRelay(
+    gateway_node& self, const state::gateway::peer_heartbeat& message, state::time_point now, effect_list& effects);
 
 /// Notes that a fetch from a peer has ended, whatever it brought.
-void noteFetchEnded(node& self, state::time_point now, effect_list& effects);
+void noteFetchEnded(gateway_node& self, state::time_point now, effect_list& effects);
 
 /// Fetches what somebody is known to know and the store has not told meanwhile.
-void advanceRelay(node& self, state::time_point now, effect_list& effects);
+void advanceRelay(gateway_node& self, state::time_point now, effect_list& effects);
 
 /// When `advanceRelay` is next due; nothing while nobody knows more.
-[[nodiscard]] std::optional<state::time_point> nextRelayStep(const node& self) noexcept;
+[[nodiscard]] std::optional<state::time_point> nextRelayStep(const gateway_node& self) noexcept;
 
 } // namespace acaciaslip::coordination::gateway
--- a/src/coordination/gateway/fleet_view.cpp
+++ b/src/coordination/gateway/fleet_view.cpp
@@ -22,7 +22,7 @@
             { "cold_ms", std::to_string(static_cast<std::int64_t>(state::toMilliseconds(entry.coldLeft))) } } };
 }
 
-void takeConfiguration(node& self, state::time_point now, effect_list& effects)
+void takeConfiguration(gateway_node& self, state::time_point now, effect_list& effects)
 {
     const auto& published = self.published.config;
     if (!published.value || (self.config && self.config->version == published.value->version))
@@ -45,7 +45,7 @@
 }
 
 void takeServer(
-    node& self, const server_entry& entry, state::revision number, state::time_point now, effect_list& effects)
+    gateway_node& self, const server_entry& entry, state::revision number, state::time_point now, effect_list& effects)
 {
     const auto [position, added] = self.servers.try_emplace(entry.id);
     auto& server = position->second;
@@ -69,14 +69,14 @@
 }
 
 /// While the store is away and shortly after, an entry may have lapsed only because its server could not renew it.
-state::time_point findGoneAt(const node& self, state::time_point now)
+state::time_point findGoneAt(const gateway_node& self, state::time_point now)
 {
     if (self.storeLostAt)
         return state::time_point::max();
     return std::max(now, self.storeUnsettledUntil);
 }
 
-void dropMissingServers(node& self, state::time_point now, effect_list& effects)
+void dropMissingServers(gateway_node& self, state::time_point now, effect_list& effects)
 {
     for (auto position = self.servers.begin(); position != self.servers.end();) {
         auto& [id, server] = *position;
@@ -92,7 +92,7 @@
     }
 }
 
-void listMembers(node& self)
+void listMembers(gateway_node& self)
 {
     for (auto& [name, service] : self.services)
         service.members.clear();
@@ -105,7 +105,7 @@
         std::sort(service.members.begin(), service.members.end());
 }
 
-void logEvacuations(const std::map<state::data_centre_id, bool>& before, const node& self, effect_list& effects)
+void logEvacuations(const std::map<state::data_centre_id, bool>& before, const gateway_node& self, effect_list& effects)
 {
     for (const auto& [dataCentre, item] : self.published.evacuations) {
         const auto known = before.find(dataCentre);
@@ -117,7 +117,7 @@
     }
 }
 
-void applyFleet(node& self, state::time_point now, effect_list& effects)
+void applyFleet(gateway_node& self, state::time_point now, effect_list& effects)
 {
     takeConfiguration(self, now, effects);
     for (const auto& [id, item] : self.published.servers) {
@@ -130,7 +130,7 @@
 
 } // namespace
 
-void notePublished(node& self, const fleet_published& published, state::time_point now, effect_list& effects)
+void notePublished(gateway_node& self, const fleet_published& published, state::time_point now, effect_list& effects)
 {
     std::map<state::data_centre_id, bool> evacuated;
     for (const auto& [dataCentre, item] : self.published.evacuations)
@@ -143,7 +143,7 @@
     applyFleet(self, now, effects);
 }
 
-void noteStoreLost(node& self, const store_lost& lost, state::time_point now, effect_list& effects)
+void noteStoreLost(gateway_node& self, const store_lost& lost, state::time_point now, effect_list& effects)
 {
     if (self.storeLostAt)
         return;
@@ -153,7 +153,7 @@
         { { "reason", lost.reason }, { "revision", std::to_string(self.published.asOf) } } });
 }
 
-void noteStoreRegained(node& self, state::time_point now, effect_list& effects)
+void noteStoreRegained(gateway_node& self, state::time_point now, effect_list& effects)
 {
     if (!self.storeLostAt)
         return;
@@ -168,7 +168,7 @@
     }
 }
 
-void noteStoreUnsettled(node& self, state::time_point now) noexcept
+void noteStoreUnsettled(gateway_node& self, state::time_point now) noexcept
 {
     self.storeUnsettledUntil = std::max(self.storeUnsettledUntil, now + reregistration);
 }
--- a/src/coordination/gateway/membership.cpp
+++ b/src/coordination/gateway/membership.cpp
@@ -38,7 +38,7 @@
     return from;
 }
 
-void notePeer(node& self, const peer_ip& ip, const state::data_centre_id& dataCentre, state::time_point aliveAt)
+void notePeer(gateway_node& self, const peer_ip& ip, const state::data_centre_id& dataCentre, state::time_point aliveAt)
 {
     if (ip == self.settings.ip || ip.empty())
         return;
@@ -47,7 +47,7 @@
     peer.aliveAt = std::max(peer.aliveAt, aliveAt);
 }
 
-void forgetSilent(node& self, state::time_point now, effect_list& effects)
+void forgetSilent(gateway_node& self, state::time_point now, effect_list& effects)
 {
     std::erase_if(self.peers, [&](const auto& entry) {
         const bool silent = now - entry.second.aliveAt >= silentAfter;
@@ -58,7 +58,7 @@
     });
 }
 
-void countHosts(node& self, state::time_point now)
+void countHosts(gateway_node& self, state::time_point now)
 {
     const auto hosts = static_cast<std::uint32_t>(self.peers.size()) + 1;
     if (hosts >= self.share.hosts || !self.membership.counted || now - self.membership.mostHostsAt >= countMemory) {
@@ -75,7 +75,7 @@
     self.share.rank = static_cast<std::uint32_t>(before);
 }
 
-void askSeeds(node& self, state::time_point now, random_generator& random, effect_list& effects)
+void askSeeds(gateway_node& self, state::time_point now, random_generator& random, effect_list& effects)
 {
     for (const auto& seed : self.settings.seeds) {
         if (seed == self.settings.ip)
@@ -87,7 +87,7 @@
 }
 
 /// Hosts that have just started ask some at a time, of any data centre; later, one is told at each interval.
-std::vector<peer_ip> chooseTargets(node& self, bool isLearning, random_generator& random)
+std::vector<peer_ip> chooseTargets(gateway_node& self, bool isLearning, random_generator& random)
 {
     const bool anywhere = isLearning || self.membership.intervals++ % anywhereOneIn == 0;
     std::vector<peer_ip> candidates;
@@ -98,7 +98,7 @@
     return pickSome(std::move(candidates), isLearning ? learningTargets : 1, random);
 }
 
-void gossip(node& self, state::time_point now, random_generator& random, effect_list& effects)
+void gossip(gateway_node& self, state::time_point now, random_generator& random, effect_list& effects)
 {
     const bool isLearning = now - self.membership.startedAt < learning;
     for (const auto& ip : chooseTargets(self, isLearning, random)) {
@@ -109,7 +109,7 @@
 }
 
 /// Tells everybody once that this host is leaving.
-void sayFarewell(node& self, state::time_point now, random_generator& random, effect_list& effects)
+void sayFarewell(gateway_node& self, state::time_point now, random_generator& random, effect_list& effects)
 {
     if (self.phase < node_phase::leaving || std::exchange(self.membership.saidFarewell, true))
         return;
@@ -119,7 +119,7 @@
 
 } // namespace
 
-peer_heartbeat makeHeartbeat(const node& self, state::time_point now, random_generator& random)
+peer_heartbeat makeHeartbeat(const gateway_node& self, state::time_point now, random_generator& random)
 {
     peer_heartbeat made;
     made.from = self.settings.ip;
@@ -137,7 +137,7 @@
 }
 
 void noteHeartbeat(
-    node& self, const peer_heard& heard, state::time_point now, random_generator& random, effect_list& effects)
+    gateway_node& self, const peer_heard& heard, state::time_point now, random_generator& random, effect_list& effects)
 {
     const auto& message = heard.message;
     if (message.from != heard.fromIp || message.from == self.settings.ip)
@@ -168,7 +168,7 @@
         effects.emplace_back(tell_peer { message.from, makeHeartbeat(self, now, random) });
 }
 
-void advanceMembership(node& self, state::time_point now, random_generator& random, effect_list& effects)
+void advanceMembership(gateway_node& self, state::time_point now, random_generator& random, effect_list& effects)
 {
     sayFarewell(self, now, random, effects);
     if (now < self.membership.nextGossipAt || self.settings.ip.empty())
@@ -186,7 +186,7 @@
     self.membership.nextGossipAt = now + gossipInterval - jitter;
 }
 
-state::time_point nextMembershipStep(const node& self) noexcept
+state::time_point nextMembershipStep(const gateway_node& self) noexcept
 {
     return self.settings.ip.empty() ? state::time_point::max() : self.membership.nextGossipAt;
 }
--- a/src/coordination/gateway/node.cpp
+++ b/src/coordination/gateway/node.cpp
@@ -16,7 +16,7 @@
 
 /// Everything a handler may need, so that one overload set can dispatch.
 struct dispatch {
-    node& self;
+    gateway_node& self;
     state::time_point now;
     random_generator& random;
     effect_list& effects;
@@ -45,9 +45,9 @@
 
 } // namespace
 
-node makeNode(node_settings settings, state::time_point now)
+gateway_node makeNode(node_settings settings, state::time_point now)
 {
-    node made;
+    gateway_node made;
     made.settings = std::move(settings);
     made.phaseSince = now;
     made.membership.startedAt = now;
@@ -56,7 +56,8 @@
     return made;
 }
 
-void handle(node& self, const event& happened, state::time_point now, random_generator& random, effect_list& effects)
+void handle(
+    gateway_node& self, const event& happened, state::time_point now, random_generator& random, effect_list& effects)
 {
     std::visit(dispatch { self, now, random, effects }, happened);
     advanceDueRequests(self, now, random, effects);
@@ -66,7 +67,7 @@
     advanceStop(self, now, effects);
 }
 
-std::optional<state::time_point> nextWakeUp(const node& self) noexcept
+std::optional<state::time_point> nextWakeUp(const gateway_node& self) noexcept
 {
     if (self.phase == node_phase::stopped)
         return std::nullopt;
@@ -80,7 +81,7 @@
     return next;
 }
 
-bool isReady(const node& self) noexcept
+bool isReady(const gateway_node& self) noexcept
 {
     return self.phase == node_phase::serving;
 }
--- a/src/coordination/gateway/node.hpp
+++ b/src/coordination/gateway/node.hpp
@@ -91,7 +91,7 @@
 inline constexpr std::uint32_t hostsWhenUnknown = 64;
 
 /// One whole node: plain data, changed only by `handle`.
-struct node {
+struct gateway_node {
     node_settings settings;
     host_share share { hostsWhenUnknown, 0 }; ///< this host's part in the fleet's budgets
     std::map<state::gateway::peer_ip, state::gateway::peer_state> peers; ///< every other host
@@ -119,18 +119,19 @@
 };
 
 /// Makes a node that has seen nothing yet.
-[[nodiscard]] node makeNode(node_settings settings, state::time_point now);
+[[nodiscard]] gateway_node makeNode(node_settings settings, state::time_point now);
 
 /// The one door: takes an event, changes the node and says what is to be done.
 /// \param now the time at which the event is handled; never goes back
 /// \param random draws every random choice
 /// \param effects what is to be done is added at its end
-void handle(node& self, const event& happened, state::time_point now, random_generator& random, effect_list& effects);
+void handle(
+    gateway_node& self, const event& happened, state::time_point now, random_generator& random, effect_list& effects);
 
 /// When the node next wants `timer_expired`; nothing while only events from outside matter.
-[[nodiscard]] std::optional<state::time_point> nextWakeUp(const node& self) noexcept;
+[[nodiscard]] std::optional<state::time_point> nextWakeUp(const gateway_node& self) noexcept;
 
 /// Whether the platform's balancer may give this node new connections.
-[[nodiscard]] bool isReady(const node& self) noexcept;
+[[nodiscard]] bool isReady(const gateway_node& self) noexcept;
 
 } // namespace acaciaslip::coordination::gateway
--- a/src/coordination/gateway/request_end.cpp
+++ b/src/coordination/gateway/request_end.cpp
@@ -11,12 +11,12 @@
 
 using state::gateway::pending_request;
 
-bool isLeaving(const node& self) noexcept
+bool isLeaving(const gateway_node& self) noexcept
 {
     return self.phase >= node_phase::leaving;
 }
 
-void cancelRunning(node& self, const pending_request& request, effect_list& effects)
+void cancelRunning(gateway_node& self, const pending_request& request, effect_list& effects)
 {
     for (const auto& attempt : request.running) {
         effects.emplace_back(cancel_attempt { attempt.id });
@@ -25,13 +25,13 @@
     }
 }
 
-void forget(node& self, const pending_request& request)
+void forget(gateway_node& self, const pending_request& request)
 {
     unschedule(self, request);
     self.requests.erase(static_cast<std::uint64_t>(request.id));
 }
 
-void countEnd(node& self, const pending_request& request, state::verdict outcome, state::time_point now)
+void countEnd(gateway_node& self, const pending_request& request, state::verdict outcome, state::time_point now)
 {
     ++self.counters.requestsByVerdict[outcome];
     state::observe(self.counters.durationByVerdict[outcome], now - request.arrivedAt);
@@ -44,7 +44,7 @@
     return request.mayHaveRun || !request.running.empty() ? state::verdict::may_have_run : state::verdict::not_run;
 }
 
-void endWithAnswer(node& self, pending_request& request, const state::gateway::kept_answer& answer,
+void endWithAnswer(gateway_node& self, pending_request& request, const state::gateway::kept_answer& answer,
     state::time_point now, effect_list& effects)
 {
     countEnd(self, request, state::verdict::ran, now);
@@ -59,7 +59,7 @@
     forget(self, request);
 }
 
-void endWithRefusal(node& self, pending_request& request, state::refusal_reason reason, state::time_point now,
+void endWithRefusal(gateway_node& self, pending_request& request, state::refusal_reason reason, state::time_point now,
     random_generator& random, effect_list& effects)
 {
     if (request.fallback)
@@ -74,7 +74,7 @@
     forget(self, request);
 }
 
-void endUnheard(node& self, pending_request& request, state::time_point now, effect_list& effects)
+void endUnheard(gateway_node& self, pending_request& request, state::time_point now, effect_list& effects)
 {
     ++self.counters.callersGone;
     effects.emplace_back(describeEnd(request, "caller_gone", now));
@@ -84,8 +84,8 @@
     forget(self, request);
 }
 
-void refuseUnkept(node& self, state::request_id id, std::string_view callerRequestId, state::refusal_reason reason,
-    random_generator& random, effect_list& effects)
+void refuseUnkept(gateway_node& self, state::request_id id, std::string_view callerRequestId,
+    state::refusal_reason reason, random_generator& random, effect_list& effects)
 {
     ++self.counters.requestsByVerdict[state::verdict::not_run];
     ++self.counters.refusals[reason];
--- a/src/coordination/gateway/request_flow.cpp
+++ b/src/coordination/gateway/request_flow.cpp
@@ -25,7 +25,7 @@
 constexpr double newestWorkWeight = 0.1; ///< of an answer in a service's typical work
 
 pending_request makeRequest(
-    node& self, const request_arrived& arrived, const state::gateway::route& route, state::time_point now)
+    gateway_node& self, const request_arrived& arrived, const state::gateway::route& route, state::time_point now)
 {
     pending_request request;
     request.id = arrived.id;
@@ -42,7 +42,8 @@
     return request;
 }
 
-void learnWork(node& self, const pending_request& request, const running_attempt& attempt, state::time_point now)
+void learnWork(
+    gateway_node& self, const pending_request& request, const running_attempt& attempt, state::time_point now)
 {
     auto* const server = findServer(self, attempt.server);
     if (server == nullptr)
@@ -58,7 +59,7 @@
     known = typical + std::chrono::duration_cast<state::duration>((work - typical) * newestWorkWeight);
 }
 
-void noteServerBehaviour(node& self, const pending_request& request, const running_attempt& attempt,
+void noteServerBehaviour(gateway_node& self, const pending_request& request, const running_attempt& attempt,
     const attempt_finished& finished, state::time_point now)
 {
     auto* const server = findServer(self, attempt.server);
@@ -92,7 +93,7 @@
 }
 
 void tryAgain(
-    node& self, pending_request& request, state::time_point now, random_generator& random, effect_list& effects)
+    gateway_node& self, pending_request& request, state::time_point now, random_generator& random, effect_list& effects)
 {
     if (!request.running.empty() || request.round)
         return schedule(self, request);
@@ -111,7 +112,7 @@
         request.fallback = { attempt.id, attempt.server };
 }
 
-void settleAnswer(node& self, pending_request& request, const running_attempt& attempt,
+void settleAnswer(gateway_node& self, pending_request& request, const running_attempt& attempt,
     const attempt_finished& finished, state::time_point now, random_generator& random, effect_list& effects)
 {
     const bool idempotent = request.matched->kind == state::gateway::request_kind::idempotent;
@@ -121,7 +122,7 @@
     tryAgain(self, request, now, random, effects);
 }
 
-void settleAttempt(node& self, pending_request& request, const running_attempt& attempt,
+void settleAttempt(gateway_node& self, pending_request& request, const running_attempt& attempt,
     const attempt_finished& finished, state::time_point now, random_generator& random, effect_list& effects)
 {
     request.lastOutcome = finished.outcome;
@@ -137,7 +138,7 @@
 }
 
 void advanceRequest(
-    node& self, pending_request& request, state::time_point now, random_generator& random, effect_list& effects)
+    gateway_node& self, pending_request& request, state::time_point now, random_generator& random, effect_list& effects)
 {
     if (now >= request.answerBy)
         return endWithRefusal(self, request, state::refusal_reason::deadline_exceeded, now, random, effects);
@@ -157,8 +158,8 @@
 
 } // namespace
 
-void admitRequest(
-    node& self, const request_arrived& arrived, state::time_point now, random_generator& random, effect_list& effects)
+void admitRequest(gateway_node& self, const request_arrived& arrived, state::time_point now, random_generator& random,
+    effect_list& effects)
 {
     if (self.phase >= node_phase::draining)
         return refuseUnkept(self, arrived.id, arrived.callerRequestId, state::refusal_reason::leaving, random, effects);
@@ -175,15 +176,15 @@
     beginRound(self, request, asking_reason::first_send, now, random, effects);
 }
 
-void noteCallerGone(node& self, const caller_gone& gone, state::time_point now, effect_list& effects)
+void noteCallerGone(gateway_node& self, const caller_gone& gone, state::time_point now, effect_list& effects)
 {
     const auto found = self.requests.find(static_cast<std::uint64_t>(gone.id));
     if (found != self.requests.end())
         endUnheard(self, found->second, now, effects);
 }
 
-void noteAttemptFinished(
-    node& self, const attempt_finished& finished, state::time_point now, random_generator& random, effect_list& effects)
+void noteAttemptFinished(gateway_node& self, const attempt_finished& finished, state::time_point now,
+    random_generator& random, effect_list& effects)
 {
     const auto known = self.attempts.find(static_cast<std::uint64_t>(finished.id));
     if (known == self.attempts.end())
@@ -205,7 +206,7 @@
     settleAttempt(self, request, attempt, finished, now, random, effects);
 }
 
-void advanceDueRequests(node& self, state::time_point now, random_generator& random, effect_list& effects)
+void advanceDueRequests(gateway_node& self, state::time_point now, random_generator& random, effect_list& effects)
 {
     while (!self.due.empty() && self.due.begin()->first <= now)
         advanceRequest(self, self.requests.at(self.due.begin()->second), now, random, effects);
--- a/src/coordination/gateway/request_log.cpp
+++ b/src/coordination/gateway/request_log.cpp
@@ -27,7 +27,7 @@
 
 } // namespace
 
-log_event describeSend(const node& self, const pending_request& request, const state::host_id& server,
+log_event describeSend(const gateway_node& self, const pending_request& request, const state::host_id& server,
     const completion_estimate& estimate, state::gateway::asking_reason reason, state::time_point now)
 {
     const auto known = self.servers.find(server);
@@ -61,7 +61,7 @@
             { "ms", milliseconds(now - request.arrivedAt) } } };
 }
 
-log_event describeDenial(const node& self, const pending_request& request)
+log_event describeDenial(const gateway_node& self, const pending_request& request)
 {
     return { log_level::info, "repeat_denied",
         { { "id", request.callerRequestId }, { "service", request.service }, { "sends", std::to_string(request.sends) },
--- a/src/coordination/gateway/request_log.hpp
+++ b/src/coordination/gateway/request_log.hpp
@@ -11,7 +11,7 @@
 /// bear the caller's id of the request.
 
 /// A request is sent to a server, because of what the server said of its load.
-[[nodiscard]] log_event describeSend(const node& self, const state::gateway::pending_request& request,
+[[nodiscard]] log_event describeSend(const gateway_node& self, const state::gateway::pending_request& request,
     const state::host_id& server, const completion_estimate& estimate, state::gateway::asking_reason reason,
     state::time_point now);
 
@@ -24,7 +24,7 @@
     const state::gateway::pending_request& request, std::string_view why, state::duration best, state::time_point now);
 
 /// A repeat that would help is denied by the retry budget.
-[[nodiscard]] log_event describeDenial(const node& self, const state::gateway::pending_request& request);
+[[nodiscard]] log_event describeDenial(const gateway_node& self, const state::gateway::pending_request& request);
 
 /// The request ended.
 [[nodiscard]] log_event describeEnd(
--- a/src/coordination/gateway/retry_after.cpp
+++ b/src/coordination/gateway/retry_after.cpp
@@ -18,7 +18,7 @@
     return base / 2 + state::duration { random(half + 1) } + state::duration { half / 2 };
 }
 
-state::duration findBase(const node& self, std::string_view service, state::refusal_reason reason)
+state::duration findBase(const gateway_node& self, std::string_view service, state::refusal_reason reason)
 {
     switch (reason) {
     case state::refusal_reason::leaving:
@@ -40,13 +40,13 @@
 } // namespace
 
 state::duration findRetryAfter(
-    const node& self, std::string_view service, state::refusal_reason reason, random_generator& random)
+    const gateway_node& self, std::string_view service, state::refusal_reason reason, random_generator& random)
 {
     const auto base = findBase(self, service, reason);
     return base > state::duration::zero() ? spread(base, random) : base;
 }
 
-state::duration typicalWork(const node& self, std::string_view service, state::duration objective) noexcept
+state::duration typicalWork(const gateway_node& self, std::string_view service, state::duration objective) noexcept
 {
     const auto known = self.services.find(std::string(service));
     if (known != self.services.end() && known->second.typicalWork)
--- a/src/coordination/gateway/sending.cpp
+++ b/src/coordination/gateway/sending.cpp
@@ -23,7 +23,7 @@
 constexpr double hedgePatience = 1.2;
 
 std::optional<state::time_point> planHedge(
-    const node& self, const pending_request& request, state::duration expected, state::time_point now)
+    const gateway_node& self, const pending_request& request, state::duration expected, state::time_point now)
 {
     if (request.matched->kind != state::gateway::request_kind::idempotent || request.matched->attempts < 2)
         return std::nullopt;
@@ -36,7 +36,7 @@
 
 } // namespace
 
-bool mayRepeat(node& self, const pending_request& request, state::time_point now)
+bool mayRepeat(gateway_node& self, const pending_request& request, state::time_point now)
 {
     const bool idempotent = request.matched->kind == state::gateway::request_kind::idempotent;
     if (!idempotent && (request.mayHaveRun || !request.running.empty()))
@@ -50,8 +50,9 @@
     return allowed;
 }
 
-void sendRequest(node& self, pending_request& request, state::host_id server, const completion_estimate& estimate,
-    asking_reason reason, state::time_point now, random_generator& random, effect_list& effects)
+void sendRequest(gateway_node& self, pending_request& request, const state::host_id& server,
+    const completion_estimate& estimate, asking_reason reason, state::time_point now, random_generator& random,
+    effect_list& effects)
 {
     request.round.reset();
     if (!mayRepeat(self, request, now)) {
--- a/src/coordination/gateway/sending.hpp
+++ b/src/coordination/gateway/sending.hpp
@@ -6,11 +6,11 @@
 namespace acaciaslip::coordination::gateway {
 
 /// Sends a request to a server, if the retry budget allows it where it is a repeat.
-void sendRequest(node& self, state::gateway::pending_request& request, state::host_id server,
+void sendRequest(gateway_node& self, state::gateway::pending_request& request, const state::host_id& server,
     const completion_estimate& estimate, state::gateway::asking_reason reason, state::time_point now,
     random_generator& random, effect_list& effects);
 
 /// Whether a request may be sent once more, as far as its kind, its route and the retry budget say.
-[[nodiscard]] bool mayRepeat(node& self, const state::gateway::pending_request& request, state::time_point now);
+[[nodiscard]] bool mayRepeat(gateway_node& self, const state::gateway::pending_request& request, state::time_point now);
 
 } // namespace acaciaslip::coordination::gateway
--- a/src/coordination/gateway/server_load.cpp
+++ b/src/coordination/gateway/server_load.cpp
@@ -2,7 +2,8 @@
 
 namespace acaciaslip::coordination::gateway {
 
-void noteReport(node& self, const state::host_id& server, state::gateway::load_report report, state::time_point now)
+void noteReport(
+    gateway_node& self, const state::host_id& server, state::gateway::load_report report, state::time_point now)
 {
     auto* const known = findServer(self, server);
     if (known == nullptr)
@@ -12,7 +13,7 @@
     known->sentSinceReport = 0;
 }
 
-void noteSend(node& self, const state::host_id& server, state::time_point now)
+void noteSend(gateway_node& self, const state::host_id& server, state::time_point now)
 {
     auto* const known = findServer(self, server);
     if (known == nullptr)
@@ -23,14 +24,14 @@
         known->lastColdSendAt = now;
 }
 
-void noteSendEnded(node& self, const state::host_id& server)
+void noteSendEnded(gateway_node& self, const state::host_id& server)
 {
     auto* const known = findServer(self, server);
     if (known != nullptr && known->ownRunning > 0)
         --known->ownRunning;
 }
 
-state::gateway::server_state* findServer(node& self, const state::host_id& id)
+state::gateway::server_state* findServer(gateway_node& self, const state::host_id& id)
 {
     const auto found = self.servers.find(id);
     return found == self.servers.end() ? nullptr : &found->second;
--- a/src/coordination/gateway/split_choice.cpp
+++ b/src/coordination/gateway/split_choice.cpp
@@ -1,5 +1,7 @@
 #include "coordination/gateway/split_choice.hpp"
 
+#include <limits>
+
 namespace acaciaslip::coordination::gateway {
 
 namespace {
@@ -31,12 +33,12 @@
         return route.split.front().service;
     if (balance.credit.empty())
         initialize(balance, route, offset);
-    const state::gateway::split_part* chosen = nullptr;
-    double most = 0;
+    const auto* chosen = &route.split.front();
+    double most = std::numeric_limits<double>::lowest();
     for (const auto& part : route.split) {
         auto& credit = balance.credit[part.service];
         credit += part.weight;
-        if (part.weight > 0 && (chosen == nullptr || credit > most)) {
+        if (part.weight > 0 && credit > most) {
             chosen = &part;
             most = credit;
         }
--- a/src/coordination/gateway/stopping.cpp
+++ b/src/coordination/gateway/stopping.cpp
@@ -10,7 +10,7 @@
 constexpr state::duration leavingLasts = std::chrono::milliseconds { 2700 };
 constexpr double leavingMostOfGrace = 0.5; ///< where the time until SIGKILL is short
 
-void enterPhase(node& self, node_phase phase, state::time_point now, effect_list& effects)
+void enterPhase(gateway_node& self, node_phase phase, state::time_point now, effect_list& effects)
 {
     self.phase = phase;
     self.phaseSince = now;
@@ -19,7 +19,7 @@
             { "in_progress", std::to_string(self.requests.size()) } } });
 }
 
-state::duration leavingTime(const node& self) noexcept
+state::duration leavingTime(const gateway_node& self) noexcept
 {
     return std::min(
         leavingLasts, std::chrono::duration_cast<state::duration>(self.settings.bounds.stopGrace * leavingMostOfGrace));
@@ -27,13 +27,13 @@
 
 } // namespace
 
-void beginStop(node& self, state::time_point now, effect_list& effects)
+void beginStop(gateway_node& self, state::time_point now, effect_list& effects)
 {
     if (self.phase < node_phase::leaving)
         enterPhase(self, node_phase::leaving, now, effects);
 }
 
-void advanceStop(node& self, state::time_point now, effect_list& effects)
+void advanceStop(gateway_node& self, state::time_point now, effect_list& effects)
 {
     if (self.phase == node_phase::leaving && now - self.phaseSince >= leavingTime(self))
         enterPhase(self, node_phase::draining, now, effects);
@@ -43,7 +43,7 @@
     }
 }
 
-std::optional<state::time_point> nextStopStep(const node& self) noexcept
+std::optional<state::time_point> nextStopStep(const gateway_node& self) noexcept
 {
     if (self.phase == node_phase::leaving)
         return self.phaseSince + leavingTime(self);
--- a/src/coordination/gateway/store_duty.cpp
+++ b/src/coordination/gateway/store_duty.cpp
@@ -19,7 +19,7 @@
 /// A delta with more changes than this is told as a revision only; peers fetch it.
 constexpr std::size_t mostRelayed = 6;
 
-int countBefore(const node& self, store_access access, state::time_point now)
+int countBefore(const gateway_node& self, store_access access, state::time_point now)
 {
     return static_cast<int>(std::count_if(self.peers.begin(), self.peers.end(), [&](const auto& entry) {
         const auto& peer = entry.second;
@@ -28,7 +28,7 @@
     }));
 }
 
-bool isCoveredByOthers(const node& self, state::time_point now)
+bool isCoveredByOthers(const gateway_node& self, state::time_point now)
 {
     if (self.published.asOf == 0)
         return false;
@@ -36,7 +36,7 @@
         || countBefore(self, store_access::away, now) >= mostTrying;
 }
 
-void tellDataCentre(node& self, const std::optional<state::gateway::fleet_delta>& delta, state::time_point now,
+void tellDataCentre(gateway_node& self, const std::optional<state::gateway::fleet_delta>& delta, state::time_point now,
     random_generator& random, effect_list& effects)
 {
     auto heartbeat = makeHeartbeat(self, now, random);
@@ -48,7 +48,7 @@
     }
 }
 
-void setFollowing(node& self, bool follows, effect_list& effects)
+void setFollowing(gateway_node& self, bool follows, effect_list& effects)
 {
     if (self.duty.follows == follows)
         return;
@@ -69,14 +69,14 @@
 
 } // namespace
 
-store_access findStoreAccess(const node& self) noexcept
+store_access findStoreAccess(const gateway_node& self) noexcept
 {
     if (!self.duty.follows || self.published.asOf == 0)
         return store_access::none;
     return self.storeLostAt ? store_access::away : store_access::answers;
 }
 
-void advanceStoreDuty(node& self, state::time_point now, random_generator& random, effect_list& effects)
+void advanceStoreDuty(gateway_node& self, state::time_point now, random_generator& random, effect_list& effects)
 {
     if (now < self.duty.nextStepAt)
         return;
@@ -92,13 +92,13 @@
         tellDataCentre(self, std::nullopt, now, random, effects);
 }
 
-state::time_point nextStoreDutyStep(const node& self) noexcept
+state::time_point nextStoreDutyStep(const gateway_node& self) noexcept
 {
     return self.duty.nextStepAt;
 }
 
-void relayChanges(node& self, const state::gateway::fleet_delta& delta, state::time_point now, random_generator& random,
-    effect_list& effects)
+void relayChanges(gateway_node& self, const state::gateway::fleet_delta& delta, state::time_point now,
+    random_generator& random, effect_list& effects)
 {
     tellDataCentre(self, isRelayable(delta) ? std::optional(delta) : std::nullopt, now, random, effects);
 }
--- a/src/coordination/gateway/store_duty.hpp
+++ b/src/coordination/gateway/store_duty.hpp
@@ -9,16 +9,16 @@
 /// centre that a host before it in the order of addresses follows a store that answers, or that some before it try.
 
 /// Whether this node follows the store, for its heartbeats.
-[[nodiscard]] state::gateway::store_access findStoreAccess(const node& self) noexcept;
+[[nodiscard]] state::gateway::store_access findStoreAccess(const gateway_node& self) noexcept;
 
 /// Begins or ends following the store, and tells the own data centre that this node follows.
-void advanceStoreDuty(node& self, state::time_point now, random_generator& random, effect_list& effects);
+void advanceStoreDuty(gateway_node& self, state::time_point now, random_generator& random, effect_list& effects);
 
 /// When `advanceStoreDuty` is next due.
-[[nodiscard]] state::time_point nextStoreDutyStep(const node& self) noexcept;
+[[nodiscard]] state::time_point nextStoreDutyStep(const gateway_node& self) noexcept;
 
 /// Tells the own data centre what has changed in the store.
-void relayChanges(node& self, const state::gateway::fleet_delta& delta, state::time_point now, random_generator& random,
-    effect_list& effects);
+void relayChanges(gateway_node& self, const state::gateway::fleet_delta& delta, state::time_point now,
+    random_generator& random, effect_list& effects);
 
 } // namespace acaciaslip::coordination::gateway
--- a/src/platform/gateway.cpp
+++ b/src/platform/gateway.cpp
@@ -35,6 +35,7 @@
 std::vector<std::string> withoutPorts(const std::vector<std::string>& addresses)
 {
     std::vector<std::string> ips;
+    ips.reserve(addresses.size());
     for (const auto& address : addresses)
         ips.push_back(address.substr(0, address.rfind(':')));
     return ips;
--- a/src/protocol/gateway_dump.cpp
+++ b/src/protocol/gateway_dump.cpp
@@ -47,7 +47,7 @@
 
 } // namespace
 
-json describeGateway(const coordination::gateway::node& node, state::time_point now)
+json describeGateway(const coordination::gateway::gateway_node& node, state::time_point now)
 {
     json described { { "id", node.settings.id }, { "data_centre", node.settings.dataCentre },
         { "phase", state::findName(coordination::gateway::nodePhaseNames, node.phase) },
--- a/src/transport/loop/gateway_daemon.cpp
+++ b/src/transport/loop/gateway_daemon.cpp
@@ -117,6 +117,45 @@
     }
 }
 
+/// Carries out each kind of effect.
+struct gateway_daemon::executor {
+    gateway_daemon& owner;
+
+    void operator()(const coordination::gateway::ask_server& wanted) const { owner.m_parts->servers.ask(wanted); }
+    void operator()(const coordination::gateway::send_request& wanted) const { owner.m_parts->servers.send(wanted); }
+    void operator()(const coordination::gateway::cancel_attempt& wanted) const
+    {
+        owner.m_parts->servers.cancel(wanted.id);
+    }
+    void operator()(const coordination::gateway::answer_caller& wanted) const
+    {
+        owner.m_parts->callers.answer(wanted, owner.m_parts->servers.takeAnswer(wanted.attempt));
+    }
+    void operator()(const coordination::gateway::refuse_caller& wanted) const { owner.m_parts->callers.refuse(wanted); }
+    void operator()(const coordination::gateway::discard_answer& wanted) const
+    {
+        owner.m_parts->servers.dropAnswer(wanted.attempt);
+    }
+    void operator()(const coordination::gateway::tell_peer& wanted) const { owner.m_parts->peers.tell(wanted); }
+    void operator()(const coordination::gateway::fetch_fleet& wanted) const { owner.m_parts->peers.fetch(wanted); }
+    void operator()(const coordination::gateway::follow_store& wanted) const
+    {
+        if (owner.m_store.follow)
+            owner.m_store.follow(wanted);
+    }
+    void operator()(const coordination::gateway::refresh_store& /*wanted*/) const
+    {
+        if (owner.m_store.refresh)
+            owner.m_store.refresh();
+    }
+    void operator()(const coordination::log_event& line) const { owner.m_log.write(line); }
+    void operator()(const coordination::node_stopped& /*stopped*/) const
+    {
+        owner.m_stoppedAt = bootNow();
+        owner.m_parts->exit.start(quietPoll);
+    }
+};
+
 void gateway_daemon::handleQueued()
 {
     while (!m_queue.empty()) {
@@ -125,52 +164,12 @@
         coordination::gateway::handle(m_node, happened, bootNow(), m_random, m_effects);
         auto effects = std::exchange(m_effects, {});
         for (const auto& effect : effects)
-            carryOut(effect);
+            std::visit(executor { *this }, effect);
     }
     applyChanges();
     scheduleWakeUp();
 }
 
-namespace {
-
-/// Lets one visitor be put together from functions.
-template <typename... Functions> struct overloaded : Functions... {
-    using Functions::operator()...;
-};
-
-} // namespace
-
-void gateway_daemon::carryOut(const coordination::gateway::effect& wanted)
-{
-    namespace gateway = coordination::gateway;
-    auto& [callers, servers, health, operators, peers, wakeUp, exit] = *m_parts;
-    std::visit(
-        overloaded {
-            [&](const gateway::ask_server& ask) { servers.ask(ask); },
-            [&](const gateway::send_request& send) { servers.send(send); },
-            [&](const gateway::cancel_attempt& cancelled) { servers.cancel(cancelled.id); },
-            [&](const gateway::answer_caller& answer) { callers.answer(answer, servers.takeAnswer(answer.attempt)); },
-            [&](const gateway::refuse_caller& refusal) { callers.refuse(refusal); },
-            [&](const gateway::discard_answer& discarded) { servers.dropAnswer(discarded.attempt); },
-            [&](const gateway::tell_peer& told) { peers.tell(told); },
-            [&](const gateway::fetch_fleet& fetched) { peers.fetch(fetched); },
-            [&](const gateway::follow_store& follow) {
-                if (m_store.follow)
-                    m_store.follow(follow);
-            },
-            [&](const gateway::refresh_store&) {
-                if (m_store.refresh)
-                    m_store.refresh();
-            },
-            [&](const coordination::log_event& line) { m_log.write(line); },
-            [&](const coordination::node_stopped&) {
-                m_stoppedAt = bootNow();
-                exit.start(quietPoll);
-            },
-        },
-        wanted);
-}
-
 void gateway_daemon::applyChanges()
 {
     if (m_node.config.get() != m_appliedConfig) {
--- a/src/transport/loop/gateway_daemon.hpp
+++ b/src/transport/loop/gateway_daemon.hpp
@@ -64,11 +64,12 @@
     void setBounds(const coordination::gateway::fleet_bounds& bounds) { m_node.settings.bounds = bounds; }
 
     [[nodiscard]] uv_loop_t* loop() noexcept { return &m_loop; }
-    [[nodiscard]] const coordination::gateway::node& node() const noexcept { return m_node; }
+    [[nodiscard]] const coordination::gateway::gateway_node& node() const noexcept { return m_node; }
     [[nodiscard]] int callersPort() const { return m_parts->callers.port(); }
     [[nodiscard]] int operatorsPort() const { return m_parts->operators.port(); }
 
 private:
+    struct executor;
     struct parts {
         parts(gateway_daemon& owner, const gateway_settings& settings);
 
@@ -82,7 +83,6 @@
     };
 
     void handleQueued();
-    void carryOut(const coordination::gateway::effect& wanted);
     void applyChanges();
     void scheduleWakeUp();
     void finishWhenQuiet();
@@ -92,7 +92,7 @@
     gateway_settings m_settings;
     uv_loop_t m_loop {};
     uv_prepare_t m_prepare {};
-    coordination::gateway::node m_node;
+    coordination::gateway::gateway_node m_node;
     coordination::random_generator m_random;
     log_writer m_log;
     std::deque<coordination::gateway::event> m_queue;
--- a/src/transport/loop/gateway_metrics.cpp
+++ b/src/transport/loop/gateway_metrics.cpp
@@ -31,7 +31,8 @@
     families.push_back(makeCounter("acaciaslip_callers_gone_total", "Callers that left early", counters.callersGone));
 }
 
-void addFleet(std::vector<MetricFamily>& families, const coordination::gateway::node& node, state::time_point now)
+void addFleet(
+    std::vector<MetricFamily>& families, const coordination::gateway::gateway_node& node, state::time_point now)
 {
     auto servers = makeFamily("acaciaslip_servers", "Registered servers by service", MetricType::Gauge);
     for (const auto& [name, service] : node.services)
@@ -57,7 +58,7 @@
 } // namespace
 
 std::string writeGatewayMetrics(
-    const coordination::gateway::node& node, const loop_gauges& gauges, state::time_point now)
+    const coordination::gateway::gateway_node& node, const loop_gauges& gauges, state::time_point now)
 {
     std::vector<MetricFamily> families;
     addRequests(families, node.counters);
--- a/src/transport/loop/gateway_metrics.hpp
+++ b/src/transport/loop/gateway_metrics.hpp
@@ -17,6 +17,6 @@
 
 /// Writes every metric as Prometheus text.
 [[nodiscard]] std::string writeGatewayMetrics(
-    const coordination::gateway::node& node, const loop_gauges& gauges, state::time_point now);
+    const coordination::gateway::gateway_node& node, const loop_gauges& gauges, state::time_point now);
 
 } // namespace acaciaslip::transport::loop
--- a/src/transport/loop/server_links.cpp
+++ b/src/transport/loop/server_links.cpp
@@ -130,7 +130,7 @@
         coordination::gateway::ask_finished finished;
         finished.id = wanted.id;
         finished.server = wanted.server;
-        return m_sink(std::move(finished));
+        return m_sink(finished);
     }
     link->ask = wanted.id;
     link->server = wanted.server;
@@ -166,7 +166,7 @@
         coordination::gateway::attempt_finished finished;
         finished.id = wanted.id;
         finished.outcome = state::attempt_outcome::connect_failed;
-        return m_sink(std::move(finished));
+        return m_sink(finished);
     }
     link->attempt = wanted.id;
     link->server = wanted.server;
@@ -229,7 +229,7 @@
         drop(link);
     else
         keep(link);
-    m_sink(std::move(finished));
+    m_sink(finished);
 }
 
 void server_links::finishAttempt(const link_pointer& link, protocol::http::message answer)
@@ -244,7 +244,7 @@
         keep(link);
     if (finished.outcome == state::attempt_outcome::answered)
         m_answers[static_cast<std::uint64_t>(id)] = std::move(answer);
-    m_sink(std::move(finished));
+    m_sink(finished);
 }
 
 void server_links::noteFailure(const link_pointer& link, link_failure reason)
@@ -263,7 +263,7 @@
         coordination::gateway::ask_finished finished;
         finished.id = *ask;
         finished.server = link->server;
-        return m_sink(std::move(finished));
+        return m_sink(finished);
     }
     if (!attempt)
         return;
@@ -272,7 +272,7 @@
     finished.id = *attempt;
     finished.outcome
         = reason == link_failure::not_connected ? state::attempt_outcome::connect_failed : state::attempt_outcome::cut;
-    m_sink(std::move(finished));
+    m_sink(finished);
 }
 
 } // namespace acaciaslip::transport::loop
--- a/tests/coordination/gateway/gateway_fixture.hpp
+++ b/tests/coordination/gateway/gateway_fixture.hpp
@@ -168,7 +168,7 @@
     }
 
     state::time_point m_now { 1h };
-    node m_node;
+    gateway_node m_node;
     random_generator m_random { 7 };
     effect_list m_effects;
     state::gateway::route m_route;
--- a/tests/coordination/gateway/host_group.hpp
+++ b/tests/coordination/gateway/host_group.hpp
@@ -32,7 +32,7 @@
         settings.id = settings.ip;
         settings.dataCentre = dataCentre;
         settings.seeds = { ipOf(0), ipOf(1), ipOf(2) };
-        m_nodes[settings.ip] = makeNode(settings, m_now);
+        nodes[settings.ip] = makeNode(settings, now);
         m_random.emplace(settings.ip, random_generator { index + 1 });
     }
 
@@ -44,7 +44,7 @@
     /// Changes a server's entry in the store.
     void change(const std::string& id, bool present)
     {
-        m_store.asOf += 1;
+        store.asOf += 1;
         std::optional<state::gateway::server_entry> entry;
         if (present) {
             entry.emplace();
@@ -53,40 +53,40 @@
             entry->address = "10.9.0.1:80";
             entry->dataCentre = "a";
         }
-        m_store.servers[id] = { m_store.asOf, entry };
+        store.servers[id] = { store.asOf, entry };
     }
 
     void run(state::duration span)
     {
-        for (const auto end = m_now + span; m_now < end; m_now += 10ms)
+        for (const auto end = now + span; now < end; now += 10ms)
             step();
     }
 
     bool isCut(const std::string& from, const std::string& to) const
     {
-        return m_cutHosts.contains(from) || m_cutHosts.contains(to);
+        return cutHosts.contains(from) || cutHosts.contains(to);
     }
 
     std::size_t countFollowers() const
     {
         std::size_t followers = 0;
-        for (const auto& [ip, node] : m_nodes)
+        for (const auto& [ip, node] : nodes)
             followers += node.duty.follows ? 1 : 0;
         return followers;
     }
 
-    std::map<std::string, node> m_nodes;
-    state::gateway::published_fleet m_store;
-    std::set<std::string> m_storeTurnsAway; ///< hosts that the store does not answer
-    std::set<std::string> m_cutHosts; ///< hosts that no other host reaches
-    bool m_storeDown = false;
-    state::time_point m_now { 1h };
+    std::map<std::string, gateway_node> nodes;
+    state::gateway::published_fleet store;
+    std::set<std::string> storeTurnsAway; ///< hosts that the store does not answer
+    std::set<std::string> cutHosts; ///< hosts that no other host reaches
+    bool storeDown = false;
+    state::time_point now { 1h };
 
 private:
     void step()
     {
-        for (auto& [ip, node] : m_nodes) {
-            if (nextWakeUp(node) && *nextWakeUp(node) <= m_now)
+        for (auto& [ip, node] : nodes) {
+            if (nextWakeUp(node) && *nextWakeUp(node) <= now)
                 happen(ip, timer_expired {});
             readStore(ip, node);
         }
@@ -96,24 +96,24 @@
             deliver();
     }
 
-    void readStore(const std::string& ip, node& node)
+    void readStore(const std::string& ip, gateway_node& node)
     {
         if (!node.duty.follows)
             return;
-        const bool away = m_storeDown || m_storeTurnsAway.contains(ip);
+        const bool away = storeDown || storeTurnsAway.contains(ip);
         if (away && !node.storeLostAt)
             happen(ip, store_lost { "test" });
         if (!away && node.storeLostAt)
             happen(ip, store_regained {});
-        if (!away && node.published.asOf < m_store.asOf)
-            happen(ip, fleet_published { makeDelta(m_store, node.published.asOf), fleet_source::store });
+        if (!away && node.published.asOf < store.asOf)
+            happen(ip, fleet_published { makeDelta(store, node.published.asOf), fleet_source::store });
     }
 
     void happen(const std::string& ip, const event& happened)
     {
-        auto& node = m_nodes.at(ip);
+        auto& node = nodes.at(ip);
         effect_list effects;
-        handle(node, happened, m_now, m_random.at(ip), effects);
+        handle(node, happened, now, m_random.at(ip), effects);
         for (const auto& wanted : effects) {
             if (const auto* told = std::get_if<tell_peer>(&wanted))
                 deliver(ip, told->ip, told->message);
@@ -124,22 +124,22 @@
 
     void deliver(const std::string& from, const std::string& to, const state::gateway::peer_heartbeat& message)
     {
-        if (isCut(from, to) || !m_nodes.contains(to))
+        if (isCut(from, to) || !nodes.contains(to))
             return;
         m_inbox.push_back([this, from, to, message] {
-            if (m_nodes.contains(to))
+            if (nodes.contains(to))
                 happen(to, peer_heard { from, message });
         });
     }
 
     void serveFetch(const std::string& ip, const fetch_fleet& wanted)
     {
-        if (isCut(ip, wanted.ip) || !m_nodes.contains(wanted.ip))
+        if (isCut(ip, wanted.ip) || !nodes.contains(wanted.ip))
             return;
         m_inbox.push_back([this, ip, wanted] {
-            if (!m_nodes.contains(wanted.ip) || !m_nodes.contains(ip))
+            if (!nodes.contains(wanted.ip) || !nodes.contains(ip))
                 return;
-            const auto delta = makeDelta(m_nodes.at(wanted.ip).published, wanted.after);
+            const auto delta = makeDelta(nodes.at(wanted.ip).published, wanted.after);
             happen(ip, fleet_published { delta, fleet_source::peer });
             happen(ip, fetch_ended {});
         });
--- a/tests/transport/loop/loop_fixture.hpp
+++ b/tests/transport/loop/loop_fixture.hpp
@@ -26,7 +26,7 @@
 
 /// Gives a stream callbacks that fill a raw end.
 inline stream_callbacks fill(
-    const std::shared_ptr<raw_end>& end, std::function<void()> changed = [] {})
+    const std::shared_ptr<raw_end>& end, const std::function<void()>& changed = [] {})
 {
     stream_callbacks callbacks;
     callbacks.connected = [end] { end->stream->startReading(); };
