--- a/src/coordination/gateway/sending.cpp
+++ b/src/coordination/gateway/sending.cpp
@@ -50,7 +50,7 @@
     return allowed;
 }
 
-void sendRequest(gateway_node& self, pending_request& request, const state::host_id& server,
+void sendRequest(gateway_node& self, pending_request& request, state::host_id server,
     const completion_estimate& estimate, asking_reason reason, state::time_point now, random_generator& random,
     effect_list& effects)
 {
@@ -71,11 +71,11 @@
     noteSend(self, server, now);
     ++request.sends;
     ++request.possibleRuns;
-    request.tried.push_back(server);
     request.running.push_back({ id, server, now, estimate.time, reason == asking_reason::hedge });
     request.hedgeAt = planHedge(self, request, estimate.time, now);
     const auto& address = self.servers.at(server).entry.address;
     effects.emplace_back(send_request { id, request.id, server, address, request.answerBy - now });
+    request.tried.push_back(std::move(server));
     schedule(self, request);
 }
 
--- a/src/coordination/gateway/sending.hpp
+++ b/src/coordination/gateway/sending.hpp
@@ -6,7 +6,7 @@
 namespace acaciaslip::coordination::gateway {
 
 /// Sends a request to a server, if the retry budget allows it where it is a repeat.
-void sendRequest(gateway_node& self, state::gateway::pending_request& request, const state::host_id& server,
+void sendRequest(gateway_node& self, state::gateway::pending_request& request, state::host_id server,
     const completion_estimate& estimate, state::gateway::asking_reason reason, state::time_point now,
     random_generator& random, effect_list& effects);
 
