--- a/src/app/command_line.cpp
+++ b/src/app/command_line.cpp
@@ -1,6 +1,7 @@
 #include "app/command_line.hpp"
 
 #include "app/exit_codes.hpp"
+#include "app/explain.hpp"
 #include "app/node_commands.hpp"
 #include "app/serve.hpp"
 #include "app/settings_commands.hpp"
@@ -9,6 +10,7 @@
 #include <array>
 #include <cstdio>
 #include <cstdlib>
+#include <iostream>
 #include <limits>
 #include <memory>
 #include <string>
@@ -44,7 +46,7 @@
 
 constexpr std::size_t anyNumber = std::numeric_limits<std::size_t>::max();
 
-constexpr std::array<command, 7> commands { {
+constexpr std::array<command, 8> commands { {
     { "serve", "--settings FILE", "run this host's node until SIGTERM or a drain", 0, 0, true, false,
         [](const arguments& given) { return serve(given.settingsFile); } },
     { "gateway", "",
@@ -54,6 +56,8 @@
         [](const arguments& given) { return checkFiles(given.operands); } },
     { "render", "FILE…", "print the services that the teams' templates expand to", 1, anyNumber, false, false,
         [](const arguments& given) { return renderFiles(given.operands); } },
+    { "explain", "ID", "print one request's way from the gateways' logs on standard input", 1, 1, false, false,
+        [](const arguments& given) { return explainRequest(given.operands.front(), std::cin, std::cout); } },
     { "dump", "ADDRESS [--json]", "print all that one node's decisions rest on", 1, 1, false, true,
         [](const arguments& given) { return dumpNode(given.operands.front(), given.json); } },
     { "status", "ADDRESS… [--json]", "print the state of the fleet as these nodes see it", 1, anyNumber, false, true,
--- /dev/null
+++ b/tests/app/explain_test.cpp
@@ -0,0 +1,50 @@
+#include "app/explain.hpp"
+
+#include "app/exit_codes.hpp"
+
+#include <sstream>
+
+#include <gtest/gtest.h>
+
+namespace acaciaslip::app {
+namespace {
+
+class explain_test : public testing::Test {
+protected:
+    int explain(const std::string& id)
+    {
+        std::istringstream logs("1.0 host-a time=1 level=info event=configuration version=4 revision=9\n"
+                                "1.0 host-b time=1 level=info event=configuration version=5 revision=9\n"
+                                "1.1 host-a time=1 level=info event=server server=s1 what=draining\n"
+                                "1.2 host-a time=1 level=info event=send id=r1 server=s1 why=first_send\n"
+                                "1.3 host-b time=1 level=info event=send id=r2 server=s2 why=first_send\n"
+                                "1.4 host-a time=1 level=info event=request id=r1 outcome=answered\n");
+        std::ostringstream out;
+        const int code = explainRequest(id, logs, out);
+        m_text = out.str();
+        return code;
+    }
+
+    bool has(const std::string& part) const { return m_text.find(part) != std::string::npos; }
+
+    std::string m_text;
+};
+
+TEST_F(explain_test, Request_InTheLogs_ItsLinesAndItsHostsBeliefsArePrinted)
+{
+    EXPECT_EQ(explain("r1"), exitDone);
+    EXPECT_TRUE(has("version=4"));
+    EXPECT_FALSE(has("version=5"));
+    EXPECT_TRUE(has("what=draining"));
+    EXPECT_TRUE(has("outcome=answered"));
+    EXPECT_FALSE(has("id=r2"));
+}
+
+TEST_F(explain_test, Request_Unknown_SaysSoAndFails)
+{
+    EXPECT_EQ(explain("r"), exitSaidNo);
+    EXPECT_TRUE(has("no line bears the id r"));
+}
+
+} // namespace
+} // namespace acaciaslip::app
