--- /dev/null
+++ b/soak/platform_standin.cpp
@@ -0,0 +1,168 @@
+#include "soak/platform_standin.hpp"
+
+#include <absl/strings/escaping.h>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace acaciaslip::soak {
+
+using nlohmann::json;
+using protocol::http::message;
+using transport::loop::caller_connection;
+using transport::loop::timer;
+
+namespace {
+
+constexpr std::uint32_t slots = 4;
+constexpr std::chrono::milliseconds shortestWork { 5 };
+constexpr std::uint32_t workSpread = 40; ///< milliseconds
+
+std::uint64_t readNumber(const message& request, std::string_view name)
+{
+    const auto text = protocol::http::findParameter(request.target, name);
+    return text ? std::strtoull(std::string(*text).c_str(), nullptr, 10) : 0; // NOLINT: decimal
+}
+
+} // namespace
+
+http_standin::http_standin(uv_loop_t* loop, handler handle)
+    : m_handle(std::move(handle))
+    , m_listener(loop, [this](uv_stream_t* listener) { accept(listener); })
+{
+    (void)m_listener.listen("127.0.0.1:0");
+}
+
+http_standin::~http_standin()
+{
+    const auto connections = m_connections;
+    for (const auto& connection : connections)
+        connection->close();
+}
+
+std::string http_standin::address() const
+{
+    return "127.0.0.1:" + std::to_string(m_listener.port());
+}
+
+void http_standin::accept(uv_stream_t* listener)
+{
+    const auto holder = std::make_shared<std::weak_ptr<caller_connection>>();
+    transport::loop::caller_callbacks callbacks;
+    callbacks.number = [this] { return state::request_id { m_nextRequest++ }; };
+    callbacks.arrived = [this, holder](state::request_id id, const message& request) {
+        m_handle(request, [holder, id](std::string bytes) {
+            if (const auto connection = holder->lock())
+                connection->answer(id, std::move(bytes), false);
+        });
+    };
+    callbacks.gone = [](state::request_id) {};
+    callbacks.closed = [this, holder] { m_connections.erase(holder->lock()); };
+    const auto connection = caller_connection::accept(listener, {}, std::move(callbacks));
+    if (!connection)
+        return;
+    *holder = connection;
+    m_connections.insert(connection);
+}
+
+store_standin::store_standin(uv_loop_t* loop)
+    : m_loop(loop)
+    , m_http(loop, [this](const message& request, const http_standin::reply& reply) { handle(request, reply); })
+{
+}
+
+void store_standin::put(const std::string& key, const std::optional<std::string>& value)
+{
+    m_items[key] = { ++m_revision, value };
+    answerWatches();
+}
+
+void store_standin::handle(const message& request, const http_standin::reply& reply)
+{
+    const auto prefix = protocol::http::findParameter(request.target, "path-prefix").value_or("");
+    if (protocol::http::pathOf(request.target) == "/kv-range")
+        return reply(protocol::http::writeAnswer(200, "application/json", listItems(prefix), true));
+    const auto after = readNumber(request, "after");
+    if (after < m_revision)
+        return reply(protocol::http::writeAnswer(200, "application/json", listEvents(after), true));
+    auto limit = std::make_unique<timer>(m_loop, [this] { answerWatches(); });
+    limit->start(std::chrono::milliseconds { readNumber(request, "wait-ms") });
+    m_watches.push_back({ after, reply, std::move(limit) });
+}
+
+/// Answers all that wait, with what has changed since; perhaps nothing.
+void store_standin::answerWatches()
+{
+    for (const auto& watch : std::exchange(m_watches, {}))
+        watch.reply(protocol::http::writeAnswer(200, "application/json", listEvents(watch.after), true));
+}
+
+std::string store_standin::listItems(std::string_view prefix) const
+{
+    auto items = json::array();
+    for (const auto& [key, known] : m_items) {
+        if (known.value && key.starts_with(prefix))
+            items.push_back(
+                { { "key", key }, { "value", absl::Base64Escape(*known.value) }, { "revision", known.revision } });
+    }
+    return json { { "items", items }, { "has-more", false }, { "as-of", m_revision } }.dump();
+}
+
+std::string store_standin::listEvents(std::uint64_t after) const
+{
+    auto events = json::array();
+    for (const auto& [key, known] : m_items) {
+        if (known.revision <= after)
+            continue;
+        json event { { "key", key }, { "revision", known.revision } };
+        if (known.value)
+            event["value"] = absl::Base64Escape(*known.value);
+        else
+            event["compacted"] = true;
+        events.push_back(std::move(event));
+    }
+    return json { { "events", events }, { "as-of", m_revision } }.dump();
+}
+
+server_standin::server_standin(
+    uv_loop_t* loop, std::string id, std::string service, promises& seen, std::mt19937& random)
+    : m_loop(loop)
+    , m_id(std::move(id))
+    , m_service(std::move(service))
+    , m_seen(seen)
+    , m_random(random)
+    , m_http(loop, [this](const message& request, const http_standin::reply& reply) { handle(request, reply); })
+{
+}
+
+std::string server_standin::head(int status, const std::string& id, std::size_t length) const
+{
+    auto text = fmt::format("HTTP/1.1 {} X\r\nContent-Length: {}\r\nX-Acaciaslip-Instance-Id: {}\r\n"
+                            "X-Acaciaslip-Backend-Load: {},0,{}\r\n",
+        status, length, m_id, m_running, slots);
+    if (!id.empty())
+        text += fmt::format("X-Acaciaslip-Request-Id: {}\r\nX-Acaciaslip-Response-Seal: {}\r\n", id, m_id);
+    return text;
+}
+
+void server_standin::handle(const message& request, const http_standin::reply& reply)
+{
+    if (request.target == "/health")
+        return reply(head(200, {}, 0) + "\r\n");
+    const std::string id(protocol::http::findHeader(request, "X-Acaciaslip-Request-Id").value_or(""));
+    if (protocol::http::findHeader(request, "X-Acaciaslip-Expect-Instance") != std::string_view(m_id))
+        return reply(head(421, {}, 0) + "\r\n");
+    if (m_sheds || m_running >= slots)
+        return reply(head(503, {}, 0) + "X-Acaciaslip-Not-Executed: 1\r\n\r\n");
+    m_seen.ran(id, m_service);
+    ++m_running;
+    auto* const work = new std::unique_ptr<timer>;
+    *work = std::make_unique<timer>(m_loop, [this, id, reply, work] {
+        --m_running;
+        const auto body = "ran " + id;
+        reply(head(200, id, body.size()) + "\r\n" + body);
+        delete work;
+    });
+    (*work)->start(shortestWork + std::chrono::milliseconds { m_random() % workSpread });
+}
+
+} // namespace acaciaslip::soak
--- /dev/null
+++ b/soak/platform_standin.hpp
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "soak/promises.hpp"
+#include "transport/loop/caller_connection.hpp"
+#include "transport/loop/tcp_listener.hpp"
+#include "transport/loop/timer.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace acaciaslip::soak {
+
+/// A server that accepts HTTP connections and answers each request when it likes.
+class http_standin {
+public:
+    using reply = std::function<void(std::string)>; ///< takes the whole answer
+    using handler = std::function<void(const protocol::http::message&, const reply&)>;
+
+    http_standin(uv_loop_t* loop, handler handle);
+    ~http_standin();
+    http_standin(const http_standin&) = delete;
+    http_standin& operator=(const http_standin&) = delete;
+
+    [[nodiscard]] std::string address() const;
+
+private:
+    void accept(uv_stream_t* listener);
+
+    handler m_handle;
+    transport::loop::tcp_listener m_listener;
+    std::set<std::shared_ptr<transport::loop::caller_connection>> m_connections;
+    std::uint64_t m_nextRequest = 1;
+};
+
+/// The platform's store, as far as the gateway reads it.
+class store_standin {
+public:
+    explicit store_standin(uv_loop_t* loop);
+
+    /// Writes an item; without a value it is removed.
+    void put(const std::string& key, const std::optional<std::string>& value);
+
+    [[nodiscard]] std::string address() const { return m_http.address(); }
+
+private:
+    struct item {
+        std::uint64_t revision = 0;
+        std::optional<std::string> value;
+    };
+    struct waiting_watch {
+        std::uint64_t after = 0;
+        http_standin::reply reply;
+        std::unique_ptr<transport::loop::timer> limit;
+    };
+
+    void handle(const protocol::http::message& request, const http_standin::reply& reply);
+    [[nodiscard]] std::string listItems(std::string_view prefix) const;
+    [[nodiscard]] std::string listEvents(std::uint64_t after) const;
+    void answerWatches();
+
+    uv_loop_t* m_loop;
+    std::map<std::string, item> m_items;
+    std::uint64_t m_revision = 1;
+    std::vector<waiting_watch> m_watches;
+    http_standin m_http;
+};
+
+/// A backend server that keeps the platform's conventions.
+class server_standin {
+public:
+    server_standin(uv_loop_t* loop, std::string id, std::string service, promises& seen, std::mt19937& random);
+
+    [[nodiscard]] std::string address() const { return m_http.address(); }
+    [[nodiscard]] const std::string& id() const { return m_id; }
+    [[nodiscard]] const std::string& service() const { return m_service; }
+
+    void setSheds(bool sheds) { m_sheds = sheds; }
+
+private:
+    void handle(const protocol::http::message& request, const http_standin::reply& reply);
+    [[nodiscard]] std::string head(int status, const std::string& id, std::size_t length) const;
+
+    uv_loop_t* m_loop;
+    std::string m_id;
+    std::string m_service;
+    promises& m_seen;
+    std::mt19937& m_random;
+    std::uint32_t m_running = 0;
+    bool m_sheds = false;
+    http_standin m_http;
+};
+
+} // namespace acaciaslip::soak
