Learn from hosts that are leaving

Change: a leaving host shares no budget and gets no gossip, but what it knows counts and is fetched; a host that knows nothing goes on asking the seeds.

Test of a group of hosts, which failed first.

--- a/src/coordination/gateway/membership.cpp
+++ b/src/coordination/gateway/membership.cpp
@@ -60,7 +60,8 @@
 
 void countHosts(gateway_node& self, state::time_point now)
 {
-    const auto hosts = static_cast<std::uint32_t>(self.peers.size()) + 1;
+    const auto staying = [](const auto& entry) { return !entry.second.leaving; };
+    const auto hosts = static_cast<std::uint32_t>(std::count_if(self.peers.begin(), self.peers.end(), staying)) + 1;
     if (hosts >= self.share.hosts || !self.membership.counted || now - self.membership.mostHostsAt >= countMemory) {
         // Until somebody has answered, the fleet may be large.
         const bool known = !self.peers.empty() || self.settings.seeds.empty() || self.membership.counted;
@@ -86,13 +87,19 @@
     }
 }
 
+/// Hosts that leave will be gone soon.
+bool isAlone(const gateway_node& self)
+{
+    return std::none_of(self.peers.begin(), self.peers.end(), [](const auto& entry) { return !entry.second.leaving; });
+}
+
 /// Hosts that have just started ask some at a time, of any data centre; later, one is told at each interval.
 std::vector<peer_ip> chooseTargets(gateway_node& self, bool isLearning, random_generator& random)
 {
     const bool anywhere = isLearning || self.membership.intervals++ % anywhereOneIn == 0;
     std::vector<peer_ip> candidates;
     for (const auto& [ip, peer] : self.peers) {
-        if (anywhere || peer.dataCentre == self.settings.dataCentre)
+        if (!peer.leaving && (anywhere || peer.dataCentre == self.settings.dataCentre))
             candidates.push_back(ip);
     }
     return pickSome(std::move(candidates), isLearning ? learningTargets : 1, random);
@@ -130,8 +137,10 @@
     made.storeUnsettled = self.storeLostAt || now < self.storeUnsettledUntil;
     made.asOf = self.published.asOf;
     std::vector<state::gateway::known_peer> known;
-    for (const auto& [ip, peer] : self.peers)
-        known.push_back({ ip, peer.dataCentre, std::max(now - peer.aliveAt, state::duration {}) });
+    for (const auto& [ip, peer] : self.peers) {
+        if (!peer.leaving)
+            known.push_back({ ip, peer.dataCentre, std::max(now - peer.aliveAt, state::duration {}) });
+    }
     made.peers = pickSome(std::move(known), peersTold, random);
     return made;
 }
@@ -142,10 +151,6 @@
     const auto& message = heard.message;
     if (message.from != heard.fromIp || message.from == self.settings.ip)
         return; // nobody speaks for another host
-    if (message.leaving) {
-        self.peers.erase(message.from);
-        return;
-    }
     notePeer(self, message.from, message.dataCentre, now);
     auto& peer = self.peers[message.from];
     if (!peer.heardAt)
@@ -153,6 +158,7 @@
             { { "ip", message.from }, { "what", "heard" }, { "data_centre", message.dataCentre },
                 { "revision", std::to_string(message.asOf) } } });
     peer.incarnation = message.incarnation;
+    peer.leaving = message.leaving;
     peer.heardAt = now;
     peer.store = message.store;
     peer.asOf = message.asOf;
@@ -175,13 +181,13 @@
         return;
     forgetSilent(self, now, effects);
     countHosts(self, now);
-    if (self.peers.empty()) {
+    gossip(self, now, random, effects);
+    if (self.published.asOf == 0 || isAlone(self)) {
         askSeeds(self, now, random, effects);
         const bool young = now - self.membership.startedAt < seedInterval;
         self.membership.nextGossipAt = now + (young ? firstSeedInterval : seedInterval);
         return;
     }
-    gossip(self, now, random, effects);
     const auto jitter = gossipInterval / 4 * random(1024) / 1024; // NOLINT: spread over a quarter
     self.membership.nextGossipAt = now + gossipInterval - jitter;
 }
--- a/src/coordination/gateway/store_duty.cpp
+++ b/src/coordination/gateway/store_duty.cpp
@@ -23,8 +23,8 @@
 {
     return static_cast<int>(std::count_if(self.peers.begin(), self.peers.end(), [&](const auto& entry) {
         const auto& peer = entry.second;
-        return entry.first < self.settings.ip && peer.dataCentre == self.settings.dataCentre && peer.store == access
-            && peer.heardAt && now - *peer.heardAt < followerSilentAfter;
+        return !peer.leaving && entry.first < self.settings.ip && peer.dataCentre == self.settings.dataCentre
+            && peer.store == access && peer.heardAt && now - *peer.heardAt < followerSilentAfter;
     }));
 }
 
--- a/src/state/gateway/peer_heartbeat.hpp
+++ b/src/state/gateway/peer_heartbeat.hpp
@@ -59,6 +59,7 @@
 struct peer_state {
     data_centre_id dataCentre;
     std::int64_t incarnation = 0; ///< 0: heard of only
+    bool leaving = false; ///< shares no budget any more; still tells what it knows
     time_point aliveAt; ///< when it was last heard, by anybody
     std::optional<time_point> heardAt; ///< when this node itself last heard it
     store_access store = store_access::none;
--- a/tests/coordination/gateway/host_group.hpp
+++ b/tests/coordination/gateway/host_group.hpp
@@ -62,6 +62,9 @@
             step();
     }
 
+    /// Begins a planned stop of a host.
+    void stop(std::size_t index) { happen(ipOf(index), stop_requested {}); }
+
     bool isCut(const std::string& from, const std::string& to) const
     {
         return cutHosts.contains(from) || cutHosts.contains(to);
--- a/tests/coordination/gateway/host_group_test.cpp
+++ b/tests/coordination/gateway/host_group_test.cpp
@@ -142,6 +142,34 @@
     EXPECT_EQ(m_group.nodes.at(host_group::ipOf(7)).published.asOf, m_group.store.asOf);
 }
 
+/// Found by deploy/days/restart-as-the-store-returns: every host was told to stop before the first was back.
+TEST_F(host_group_test, Hosts_AllRestartedInTurnWhileTheStoreIsDown_LearnFromThoseThatLeave)
+{
+    m_group.change("s", true);
+    m_group.run(8s);
+    m_group.storeDown = true;
+    for (std::size_t index = 0; index < 15; ++index) {
+        m_group.stop(index);
+        m_group.run(150ms);
+    }
+    for (std::size_t index = 0; index < 15; ++index) {
+        m_group.nodes.erase(host_group::ipOf(index));
+        m_group.run(50ms);
+        m_group.add(index, std::string(1, static_cast<char>('a' + index % 3)));
+        m_group.run(150ms);
+    }
+    m_group.run(1s);
+    EXPECT_TRUE(allKnow(m_group.store.asOf));
+}
+
+TEST_F(host_group_test, Host_Leaving_SharesNoBudgetAnyMore)
+{
+    m_group.run(3s);
+    m_group.stop(4);
+    m_group.run(25s);
+    EXPECT_EQ(countedBy(3), 14U);
+}
+
 TEST_F(host_group_test, Message_OfAnotherAddress_ChangesNothing)
 {
     auto& node = m_group.nodes.at(host_group::ipOf(0));
