--- a/src/coordination/gateway/events.hpp
+++ b/src/coordination/gateway/events.hpp
@@ -58,7 +58,6 @@
     state::attempt_id id {};
     state::attempt_outcome outcome = state::attempt_outcome::cut;
     int status = 0; ///< of the server's answer; 0 without one
-    bool serverLeaving = false; ///< the answer said that the server closes its connections
     std::optional<state::gateway::load_report> report; ///< its time is set by the node
 };
 
--- a/src/coordination/gateway/sending.cpp
+++ b/src/coordination/gateway/sending.cpp
@@ -71,7 +71,7 @@
     noteSend(self, server, now);
     ++request.sends;
     ++request.possibleRuns;
-    request.running.push_back({ id, server, now, estimate.time, reason == asking_reason::hedge });
+    request.running.push_back({ id, server, now, estimate.time });
     request.hedgeAt = planHedge(self, request, estimate.time, now);
     const auto& address = self.servers.at(server).entry.address;
     effects.emplace_back(send_request { id, request.id, server, address, request.answerBy - now });
--- a/src/coordination/gateway/settings.hpp
+++ b/src/coordination/gateway/settings.hpp
@@ -14,8 +14,6 @@
     double retryRatio = 0.2; ///< repeats per request, over `retryWindow`
     state::duration retryWindow = std::chrono::seconds { 10 };
     double retrySlack = 50; ///< repeats in `retryWindow` beside the ratio, over all hosts
-    double coldOverloadFactor = 1.5; ///< over a cold server's rate, before it is overloaded
-    double coldSlack = 5; ///< requests in a second beside it
     state::duration stopGrace = std::chrono::seconds { 6 }; ///< between SIGTERM and SIGKILL
 };
 
--- a/src/platform/host_settings.cpp
+++ b/src/platform/host_settings.cpp
@@ -107,8 +107,6 @@
     fields.readNumber("terms.bounds.retry-ratio", bounds.retryRatio);
     fields.readSpan("terms.bounds.retry-window", bounds.retryWindow);
     fields.readNumber("terms.bounds.retry-slack", bounds.retrySlack);
-    fields.readNumber("terms.bounds.cold-overload-factor", bounds.coldOverloadFactor);
-    fields.readNumber("terms.bounds.cold-slack", bounds.coldSlack);
     fields.readSpan("terms.bounds.grace", bounds.stopGrace);
 }
 
@@ -124,7 +122,6 @@
     settings.seeds = fields.readList("network.seeds");
     // The store's table bears the name of the table that it stands in.
     settings.store = fields.requiredText("platform.platform.address");
-    fields.readNumber("platform.platform.reads-per-s", settings.storeReadsPerSecond);
     const auto ports = fields.readList("network.internal-ports");
     settings.firstInternalPort = ports.empty() ? 0 : std::atoi(ports.front().c_str()); // NOLINT(cert-err34-c)
     readBounds(fields, settings.bounds);
--- a/src/platform/host_settings.hpp
+++ b/src/platform/host_settings.hpp
@@ -22,7 +22,6 @@
     int firstInternalPort = 0; ///< of the ports that are free for traffic between hosts
     std::vector<std::string> seeds; ///< operators' addresses of some hosts, which may be down
     std::string store; ///< "ip:port" of the platform's store
-    double storeReadsPerSecond = 0; ///< all hosts together
     coordination::gateway::fleet_bounds bounds;
 };
 
--- a/src/protocol/server_dialect.cpp
+++ b/src/protocol/server_dialect.cpp
@@ -82,7 +82,6 @@
 {
     coordination::gateway::attempt_finished finished;
     finished.status = answer.status;
-    finished.serverLeaving = !answer.keepAlive;
     finished.report = readLoad(dialect, answer);
     const bool success = answer.status >= statusOk && answer.status < firstNoSuccess;
     const bool isSigned = findHeader(answer, dialect.names.signature).has_value();
--- a/src/state/gateway/pending_request.hpp
+++ b/src/state/gateway/pending_request.hpp
@@ -25,13 +25,12 @@
     time_point askedAt;
 };
 
-/// A server that has answered lately and may be sent to.
+/// A request that a server has been sent and has not answered.
 struct running_attempt {
     attempt_id id {};
     host_id server;
     time_point startedAt;
     duration expected {}; ///< how long the server should take
-    bool hedge = false;
 };
 
 /// A server's own failure, kept as the answer in case no other server does better.
--- a/src/transport/loop/caller_edge.cpp
+++ b/src/transport/loop/caller_edge.cpp
@@ -133,7 +133,6 @@
 
 void caller_edge::leave()
 {
-    m_leaving = true;
     const auto connections = m_connections;
     for (const auto& connection : connections)
         connection->leave();
--- a/src/transport/loop/caller_edge.hpp
+++ b/src/transport/loop/caller_edge.hpp
@@ -63,7 +63,6 @@
     std::unordered_set<std::shared_ptr<caller_connection>> m_connections;
     std::unordered_map<std::uint64_t, waiting_request> m_requests; ///< by request id
     std::uint64_t m_nextRequest = 1;
-    bool m_leaving = false;
 };
 
 } // namespace acaciaslip::transport::loop
--- a/tests/coordination/gateway/retry_allowance_test.cpp
+++ b/tests/coordination/gateway/retry_allowance_test.cpp
@@ -14,7 +14,7 @@
 
 class retry_allowance_test : public testing::Test {
 protected:
-    fleet_bounds m_bounds { 0.2, 10s, 58, 1.5, 5, 6s };
+    fleet_bounds m_bounds { 0.2, 10s, 58, 6s };
     state::time_point m_now { 1h };
 };
 
