Tell every data centre of a change at once

Change: a host that reads a change also tells one host of each other data centre; a host that hears one that nobody of its data centre is known to have passes it on there. Test of a group of hosts with a silent store, which failed first: 10 changes, each known everywhere within 0.8 s.

--- a/src/coordination/gateway/fleet_relay.cpp
+++ b/src/coordination/gateway/fleet_relay.cpp
@@ -1,6 +1,7 @@
 #include "coordination/gateway/fleet_relay.hpp"
 
 #include "coordination/gateway/fleet_view.hpp"
+#include "coordination/gateway/store_duty.hpp"
 
 #include <algorithm>
 
@@ -31,11 +32,14 @@
 
 } // namespace
 
-void noteRelay(
-    gateway_node& self, const state::gateway::peer_heartbeat& message, state::time_point now, effect_list& effects)
+void noteRelay(gateway_node& self, const state::gateway::peer_heartbeat& message, state::time_point now,
+    random_generator& random, effect_list& effects)
 {
+    const auto before = self.published.asOf;
     if (message.delta)
         notePublished(self, { *message.delta, fleet_source::peer }, now, effects);
+    if (self.published.asOf > before)
+        passOnChanges(self, *message.delta, now, random, effects);
     if (message.asOf <= self.published.asOf || self.relay.fetchAt)
         return;
     const bool expectsStore = self.duty.follows && !self.storeLostAt && self.published.asOf > 0;
--- a/src/coordination/gateway/fleet_relay.hpp
+++ b/src/coordination/gateway/fleet_relay.hpp
@@ -8,8 +8,8 @@
 /// fits a datagram comes with a heartbeat, the rest is fetched from whoever says that it knows more.
 
 /// Takes what a heartbeat says of the published fleet.
-void noteRelay(
-    gateway_node& self, const state::gateway::peer_heartbeat& message, state::time_point now, effect_list& effects);
+void noteRelay(gateway_node& self, const state::gateway::peer_heartbeat& message, state::time_point now,
+    random_generator& random, effect_list& effects);
 
 /// Notes that a fetch from a peer has ended, whatever it brought.
 void noteFetchEnded(gateway_node& self, state::time_point now, effect_list& effects);
--- a/src/coordination/gateway/membership.cpp
+++ b/src/coordination/gateway/membership.cpp
@@ -169,7 +169,7 @@
     if (message.storeUnsettled)
         noteStoreUnsettled(self, now);
     countHosts(self, now);
-    noteRelay(self, message, now, effects);
+    noteRelay(self, message, now, random, effects);
     if (message.answerWanted)
         effects.emplace_back(tell_peer { message.from, makeHeartbeat(self, now, random) });
 }
--- a/src/coordination/gateway/node.cpp
+++ b/src/coordination/gateway/node.cpp
@@ -32,8 +32,12 @@
     {
         const auto before = self.published.asOf;
         notePublished(self, published, now, effects);
-        if (published.source == fleet_source::store && self.published.asOf > before)
+        if (self.published.asOf <= before)
+            return;
+        if (published.source == fleet_source::store)
             relayChanges(self, published.delta, now, random, effects);
+        else
+            passOnChanges(self, published.delta, now, random, effects);
     }
     void operator()(const store_lost& lost) const { noteStoreLost(self, lost, now, effects); }
     void operator()(const store_regained&) const { noteStoreRegained(self, now, effects); }
--- a/src/coordination/gateway/store_duty.cpp
+++ b/src/coordination/gateway/store_duty.cpp
@@ -3,6 +3,8 @@
 #include "coordination/gateway/membership.hpp"
 
 #include <algorithm>
+#include <map>
+#include <vector>
 
 namespace acaciaslip::coordination::gateway {
 
@@ -48,6 +50,31 @@
     }
 }
 
+/// Tells one host of each other data centre, by chance: its own follower may not have noticed that the store is silent.
+void tellOtherDataCentres(gateway_node& self, const std::optional<state::gateway::fleet_delta>& delta,
+    state::time_point now, random_generator& random, effect_list& effects)
+{
+    std::map<state::data_centre_id, std::vector<state::gateway::peer_ip>> others;
+    for (const auto& [ip, peer] : self.peers) {
+        if (!peer.leaving && peer.dataCentre != self.settings.dataCentre)
+            others[peer.dataCentre].push_back(ip);
+    }
+    auto heartbeat = makeHeartbeat(self, now, random);
+    heartbeat.peers.clear();
+    heartbeat.delta = delta;
+    for (const auto& [dataCentre, ips] : others)
+        effects.emplace_back(tell_peer { ips[random(static_cast<std::uint32_t>(ips.size()))], heartbeat });
+}
+
+/// Whether some other host of the own data centre is known to know as much.
+bool isKnownInDataCentre(const gateway_node& self)
+{
+    return std::any_of(self.peers.begin(), self.peers.end(), [&](const auto& entry) {
+        const auto& peer = entry.second;
+        return peer.dataCentre == self.settings.dataCentre && peer.asOf >= self.published.asOf;
+    });
+}
+
 void setFollowing(gateway_node& self, bool follows, effect_list& effects)
 {
     if (self.duty.follows == follows)
@@ -100,7 +127,16 @@
 void relayChanges(gateway_node& self, const state::gateway::fleet_delta& delta, state::time_point now,
     random_generator& random, effect_list& effects)
 {
-    tellDataCentre(self, isRelayable(delta) ? std::optional(delta) : std::nullopt, now, random, effects);
+    const auto told = isRelayable(delta) ? std::optional(delta) : std::nullopt;
+    tellDataCentre(self, told, now, random, effects);
+    tellOtherDataCentres(self, told, now, random, effects);
+}
+
+void passOnChanges(gateway_node& self, const state::gateway::fleet_delta& delta, state::time_point now,
+    random_generator& random, effect_list& effects)
+{
+    if (!isKnownInDataCentre(self))
+        tellDataCentre(self, isRelayable(delta) ? std::optional(delta) : std::nullopt, now, random, effects);
 }
 
 } // namespace acaciaslip::coordination::gateway
--- a/src/coordination/gateway/store_duty.hpp
+++ b/src/coordination/gateway/store_duty.hpp
@@ -17,8 +17,12 @@
 /// When `advanceStoreDuty` is next due.
 [[nodiscard]] state::time_point nextStoreDutyStep(const gateway_node& self) noexcept;
 
-/// Tells the own data centre what has changed in the store.
+/// Tells the own data centre what has changed in the store, and one host of each other one.
 void relayChanges(gateway_node& self, const state::gateway::fleet_delta& delta, state::time_point now,
     random_generator& random, effect_list& effects);
 
+/// Tells the own data centre what another one has told, unless some host of it is known to know.
+void passOnChanges(gateway_node& self, const state::gateway::fleet_delta& delta, state::time_point now,
+    random_generator& random, effect_list& effects);
+
 } // namespace acaciaslip::coordination::gateway
--- a/tests/coordination/gateway/host_group.hpp
+++ b/tests/coordination/gateway/host_group.hpp
@@ -81,6 +81,7 @@
     std::map<std::string, gateway_node> nodes;
     state::gateway::published_fleet store;
     std::set<std::string> storeTurnsAway; ///< hosts that the store does not answer
+    std::set<std::string> storeSilent; ///< hosts that the store leaves without an answer, which they do not notice yet
     std::set<std::string> cutHosts; ///< hosts that no other host reaches
     bool storeDown = false;
     state::time_point now { 1h };
@@ -101,7 +102,7 @@
 
     void readStore(const std::string& ip, gateway_node& node)
     {
-        if (!node.duty.follows)
+        if (!node.duty.follows || storeSilent.contains(ip))
             return;
         const bool away = storeDown || storeTurnsAway.contains(ip);
         if (away && !node.storeLostAt)
--- a/tests/coordination/gateway/host_group_test.cpp
+++ b/tests/coordination/gateway/host_group_test.cpp
@@ -162,6 +162,23 @@
     EXPECT_TRUE(allKnow(m_group.store.asOf));
 }
 
+/// Found by a hunt (tmirs-gw, trouble-1 --seed 668148833919): the store fell silent for the one host of a data centre
+/// that followed it, and a change was in force there 1.99 to 2.25 s late.
+TEST_F(host_group_test, Store_SilentForOneFollower_ItsDataCentreHearsOfChangesFromTheOthers)
+{
+    m_group.change("s", true);
+    m_group.run(8s);
+    for (const auto& [ip, node] : m_group.nodes) {
+        if (node.duty.follows && node.settings.dataCentre == "b")
+            m_group.storeSilent.insert(ip);
+    }
+    for (int change = 0; change < 10; ++change) {
+        m_group.change("t" + std::to_string(change), true);
+        m_group.run(800ms);
+        EXPECT_TRUE(allKnow(m_group.store.asOf)) << change;
+    }
+}
+
 TEST_F(host_group_test, Host_Leaving_SharesNoBudgetAnyMore)
 {
     m_group.run(3s);
