Call what the project already had; keep one copy of four pieces

Cause: read-through of the whole change. The gateway's HTTP messages compared names and split lists anew beside protocol/http_head; a caller's connection had its end twice; what peers tell was taken and passed on at two places; two functions built the same heartbeat; questions kept a server and a time that nothing read; a service's name was copied for each look-up on a request's path.

Change: equalsIgnoringCase and splitList; caller_connection::end; takePublished; makeNews; plain ask ids; a map that is searched by view. Behaviour as before, no test touched.

--- a/src/coordination/gateway/asking.cpp
+++ b/src/coordination/gateway/asking.cpp
@@ -82,8 +82,8 @@
         if (service == nullptr)
             continue;
         const auto ask = state::gateway::ask_id { self.nextAsk++ };
-        self.asks[static_cast<std::uint64_t>(ask)] = { request.id, id };
-        round.running.push_back({ ask, id, now });
+        self.asks[static_cast<std::uint64_t>(ask)] = request.id;
+        round.running.push_back(ask);
         round.asked.push_back(id);
         effects.emplace_back(ask_server { ask, id, server.entry.address, service->healthPath, askPatience });
     }
@@ -217,15 +217,14 @@
     const auto known = self.asks.find(static_cast<std::uint64_t>(finished.id));
     if (known == self.asks.end())
         return;
-    const auto asking = known->second.first;
+    const auto asking = known->second;
     self.asks.erase(known);
     const auto found = self.requests.find(static_cast<std::uint64_t>(asking));
     if (found == self.requests.end() || !found->second.round)
         return;
     auto& request = found->second;
     auto& running = request.round->running;
-    const auto asked
-        = std::find_if(running.begin(), running.end(), [&](const auto& ask) { return ask.id == finished.id; });
+    const auto asked = std::find(running.begin(), running.end(), finished.id);
     if (asked == running.end())
         return; // of an earlier round
     running.erase(asked);
--- a/src/coordination/gateway/fleet_relay.cpp
+++ b/src/coordination/gateway/fleet_relay.cpp
@@ -32,14 +32,24 @@
 
 } // namespace
 
-void noteRelay(gateway_node& self, const state::gateway::peer_heartbeat& message, state::time_point now,
+void takePublished(gateway_node& self, const fleet_published& published, state::time_point now,
     random_generator& random, effect_list& effects)
 {
     const auto before = self.published.asOf;
+    notePublished(self, published, now, effects);
+    if (self.published.asOf <= before)
+        return;
+    if (published.source == fleet_source::store)
+        relayChanges(self, published.delta, now, random, effects);
+    else
+        passOnChanges(self, published.delta, now, random, effects);
+}
+
+void noteRelay(gateway_node& self, const state::gateway::peer_heartbeat& message, state::time_point now,
+    random_generator& random, effect_list& effects)
+{
     if (message.delta)
-        notePublished(self, { *message.delta, fleet_source::peer }, now, effects);
-    if (self.published.asOf > before)
-        passOnChanges(self, *message.delta, now, random, effects);
+        takePublished(self, { *message.delta, fleet_source::peer }, now, random, effects);
     if (message.asOf <= self.published.asOf || self.relay.fetchAt)
         return;
     const bool expectsStore = self.duty.follows && !self.storeLostAt && self.published.asOf > 0;
--- a/src/coordination/gateway/fleet_relay.hpp
+++ b/src/coordination/gateway/fleet_relay.hpp
@@ -7,6 +7,10 @@
 /// Pattern: lagging picture. A host that the store turns away, or that has just started, learns from the others: what
 /// fits a datagram comes with a heartbeat, the rest is fetched from whoever says that it knows more.
 
+/// Takes what was read of the published fleet, and tells those who may not know it.
+void takePublished(gateway_node& self, const fleet_published& published, state::time_point now,
+    random_generator& random, effect_list& effects);
+
 /// Takes what a heartbeat says of the published fleet.
 void noteRelay(gateway_node& self, const state::gateway::peer_heartbeat& message, state::time_point now,
     random_generator& random, effect_list& effects);
--- a/src/coordination/gateway/node.cpp
+++ b/src/coordination/gateway/node.cpp
@@ -28,17 +28,7 @@
     {
         noteAttemptFinished(self, finished, now, random, effects);
     }
-    void operator()(const fleet_published& published) const
-    {
-        const auto before = self.published.asOf;
-        notePublished(self, published, now, effects);
-        if (self.published.asOf <= before)
-            return;
-        if (published.source == fleet_source::store)
-            relayChanges(self, published.delta, now, random, effects);
-        else
-            passOnChanges(self, published.delta, now, random, effects);
-    }
+    void operator()(const fleet_published& published) const { takePublished(self, published, now, random, effects); }
     void operator()(const store_lost& lost) const { noteStoreLost(self, lost, now, effects); }
     void operator()(const store_regained&) const { noteStoreRegained(self, now, effects); }
     void operator()(const peer_heard& heard) const { noteHeartbeat(self, heard, now, random, effects); }
--- a/src/coordination/gateway/node.hpp
+++ b/src/coordination/gateway/node.hpp
@@ -14,6 +14,7 @@
 #include "state/gateway/server_state.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -106,11 +107,11 @@
     std::optional<state::time_point> storeLostAt; ///< set while the store does not answer
     state::time_point storeUnsettledUntil; ///< until then, entries may have lapsed only because the store was away
     std::unordered_map<state::host_id, state::gateway::server_state> servers;
-    std::map<std::string, service_memory> services;
+    std::map<std::string, service_memory, std::less<>> services;
     std::map<std::string, split_balance> splits; ///< by route
 
     std::unordered_map<std::uint64_t, state::gateway::pending_request> requests; ///< by request id
-    std::unordered_map<std::uint64_t, std::pair<state::request_id, state::host_id>> asks; ///< by ask id
+    std::unordered_map<std::uint64_t, state::request_id> asks; ///< by ask id
     std::unordered_map<std::uint64_t, std::pair<state::request_id, state::host_id>> attempts; ///< by attempt id
     std::set<std::pair<state::time_point, std::uint64_t>> due; ///< every request in progress, once
     std::uint64_t nextAsk = 1;
--- a/src/coordination/gateway/retry_after.cpp
+++ b/src/coordination/gateway/retry_after.cpp
@@ -26,7 +26,7 @@
     case state::refusal_reason::no_server:
         return self.config ? afterNoServer : afterStarting;
     case state::refusal_reason::overloaded: {
-        const auto known = self.services.find(std::string(service));
+        const auto known = self.services.find(service);
         if (known == self.services.end() || !known->second.typicalWork)
             return afterOverload;
         return std::max(
@@ -48,7 +48,7 @@
 
 state::duration typicalWork(const gateway_node& self, std::string_view service, state::duration objective) noexcept
 {
-    const auto known = self.services.find(std::string(service));
+    const auto known = self.services.find(service);
     if (known != self.services.end() && known->second.typicalWork)
         return *known->second.typicalWork;
     return std::chrono::duration_cast<state::duration>(objective * assumedWorkShare);
--- a/src/coordination/gateway/store_duty.cpp
+++ b/src/coordination/gateway/store_duty.cpp
@@ -38,12 +38,20 @@
         || countBefore(self, store_access::away, now) >= mostTrying;
 }
 
+/// A heartbeat that tells a change in place of hosts.
+state::gateway::peer_heartbeat makeNews(const gateway_node& self,
+    const std::optional<state::gateway::fleet_delta>& delta, state::time_point now, random_generator& random)
+{
+    auto news = makeHeartbeat(self, now, random);
+    news.peers.clear();
+    news.delta = delta;
+    return news;
+}
+
 void tellDataCentre(gateway_node& self, const std::optional<state::gateway::fleet_delta>& delta, state::time_point now,
     random_generator& random, effect_list& effects)
 {
-    auto heartbeat = makeHeartbeat(self, now, random);
-    heartbeat.peers.clear();
-    heartbeat.delta = delta;
+    const auto heartbeat = makeNews(self, delta, now, random);
     for (const auto& [ip, peer] : self.peers) {
         if (peer.dataCentre == self.settings.dataCentre)
             effects.emplace_back(tell_peer { ip, heartbeat });
@@ -59,9 +67,7 @@
         if (!peer.leaving && peer.dataCentre != self.settings.dataCentre)
             others[peer.dataCentre].push_back(ip);
     }
-    auto heartbeat = makeHeartbeat(self, now, random);
-    heartbeat.peers.clear();
-    heartbeat.delta = delta;
+    const auto heartbeat = makeNews(self, delta, now, random);
     for (const auto& [dataCentre, ips] : others)
         effects.emplace_back(tell_peer { ips[random(static_cast<std::uint32_t>(ips.size()))], heartbeat });
 }
--- a/src/protocol/http/message.cpp
+++ b/src/protocol/http/message.cpp
@@ -1,10 +1,13 @@
 #include "protocol/http/message.hpp"
 
+#include "protocol/http_head.hpp"
+
 #include <algorithm>
 #include <array>
+#include <iterator>
 
+#include <absl/algorithm/container.h>
 #include <fmt/format.h>
-#include <strings.h>
 
 namespace acaciaslip::protocol::http {
 
@@ -32,25 +35,12 @@
     { 504, "Gateway Timeout" },
 } };
 
-std::string_view trim(std::string_view text) noexcept
-{
-    const auto first = text.find_first_not_of(" \t");
-    if (first == std::string_view::npos)
-        return {};
-    return text.substr(first, text.find_last_not_of(" \t") - first + 1);
-}
-
 } // namespace
 
-bool isSameName(std::string_view left, std::string_view right) noexcept
-{
-    return left.size() == right.size() && strncasecmp(left.data(), right.data(), left.size()) == 0;
-}
-
 std::optional<std::string_view> findHeader(const message& from, std::string_view name) noexcept
 {
     for (const auto& header : from.headers) {
-        if (isSameName(header.name, name))
+        if (equalsIgnoringCase(header.name, name))
             return header.value;
     }
     return std::nullopt;
@@ -58,24 +48,17 @@
 
 bool isConnectionHeader(std::string_view name) noexcept
 {
-    return isSameName(name, lengthHeader)
+    return equalsIgnoringCase(name, lengthHeader)
         || std::any_of(connectionHeaders.begin(), connectionHeaders.end(),
-            [&](std::string_view known) { return isSameName(name, known); });
+            [&](std::string_view known) { return equalsIgnoringCase(name, known); });
 }
 
-std::vector<std::string_view> listedConnectionHeaders(const message& from)
+std::vector<std::string> listedConnectionHeaders(const message& from)
 {
-    std::vector<std::string_view> names;
+    std::vector<std::string> names;
     for (const auto& header : from.headers) {
-        if (!isSameName(header.name, "Connection"))
-            continue;
-        std::string_view left = header.value;
-        while (!left.empty()) {
-            const auto comma = std::min(left.find(','), left.size());
-            if (const auto name = trim(left.substr(0, comma)); !name.empty())
-                names.push_back(name);
-            left.remove_prefix(std::min(comma + 1, left.size()));
-        }
+        if (equalsIgnoringCase(header.name, "Connection"))
+            absl::c_move(splitList(header.value), std::back_inserter(names));
     }
     return names;
 }
--- a/src/protocol/http/message.hpp
+++ b/src/protocol/http/message.hpp
@@ -33,10 +33,7 @@
 [[nodiscard]] bool isConnectionHeader(std::string_view name) noexcept;
 
 /// The names that the Connection header lists beside the usual ones: those headers are not forwarded either.
-[[nodiscard]] std::vector<std::string_view> listedConnectionHeaders(const message& from);
-
-/// Compares header names.
-[[nodiscard]] bool isSameName(std::string_view left, std::string_view right) noexcept;
+[[nodiscard]] std::vector<std::string> listedConnectionHeaders(const message& from);
 
 /// The path of a target, without its query.
 [[nodiscard]] std::string_view pathOf(std::string_view target) noexcept;
--- a/src/protocol/http/message_parser.cpp
+++ b/src/protocol/http/message_parser.cpp
@@ -1,5 +1,7 @@
 #include "protocol/http/message_parser.hpp"
 
+#include "protocol/http_head.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -100,7 +102,7 @@
         else
             current.status = static_cast<int>(parser->status_code);
         const auto expect = findHeader(current, "Expect");
-        current.expectsContinue = expect && isSameName(*expect, "100-continue");
+        current.expectsContinue = expect && equalsIgnoringCase(*expect, "100-continue");
         const bool hasLength = parser->content_length != ~std::uint64_t { 0 };
         if (hasLength && parser->content_length > self.limits.bodyBytes)
             return self.refuse(parse_progress::body_too_large);
--- a/src/protocol/server_dialect.cpp
+++ b/src/protocol/server_dialect.cpp
@@ -1,5 +1,7 @@
 #include "protocol/server_dialect.hpp"
 
+#include "protocol/http_head.hpp"
+
 #include <algorithm>
 #include <charconv>
 
@@ -11,7 +13,6 @@
 
 using coordination::gateway::ask_outcome;
 using http::findHeader;
-using http::isSameName;
 
 constexpr int statusOk = 200;
 constexpr int firstNoSuccess = 300;
@@ -31,9 +32,10 @@
     return std::chrono::milliseconds { std::max<std::int64_t>(milliseconds, 0) };
 }
 
-bool isListed(const std::vector<std::string_view>& names, std::string_view name)
+template <typename Names> bool isListed(const Names& names, std::string_view name)
 {
-    return std::any_of(names.begin(), names.end(), [&](std::string_view listed) { return isSameName(listed, name); });
+    return std::any_of(
+        names.begin(), names.end(), [&](std::string_view listed) { return equalsIgnoringCase(listed, name); });
 }
 
 void appendForwarded(std::string& to, const http::message& from, const std::vector<std::string_view>& replaced)
--- a/src/state/gateway/pending_request.hpp
+++ b/src/state/gateway/pending_request.hpp
@@ -18,13 +18,6 @@
 /// Number of a question about a server's load within one process.
 enum class ask_id : std::uint64_t {};
 
-/// A question that a request waits for.
-struct running_ask {
-    ask_id id {};
-    host_id server;
-    time_point askedAt;
-};
-
 /// A request that a server has been sent and has not answered.
 struct running_attempt {
     attempt_id id {};
@@ -54,7 +47,7 @@
     time_point startedAt;
     time_point decideAt; ///< when to choose among those that have answered
     bool widened = false; ///< servers beyond the first few were asked too
-    std::vector<running_ask> running;
+    std::vector<ask_id> running; ///< questions without an answer yet
     std::vector<host_id> asked;
     std::vector<host_id> answered;
 };
--- a/src/transport/loop/caller_connection.cpp
+++ b/src/transport/loop/caller_connection.cpp
@@ -41,18 +41,18 @@
     };
     stream.ended = [weak] {
         if (const auto self = weak.lock())
-            self->noteGone();
+            self->close();
     };
     stream.failed = [weak](int /*problem*/) {
         if (const auto self = weak.lock())
-            self->noteGone();
+            self->close();
     };
     made->m_stream = tcp_stream::accept(listener, std::move(stream));
     if (!made->m_stream)
         return nullptr;
     made->m_timer = std::make_unique<timer>(listener->loop, [weak] {
         if (const auto self = weak.lock())
-            self->noteTimeout();
+            self->finish();
     });
     made->restartTimer();
     made->m_stream->startReading();
@@ -144,18 +144,7 @@
 /// Ends the connection; requests behind the last answer count as not read.
 void caller_connection::finish()
 {
-    if (std::exchange(m_closed, true))
-        return;
-    m_timer->stop();
-    m_stream->closeWhenWritten();
-    for (const auto& unanswered : std::exchange(m_exchanges, {}))
-        m_callbacks.gone(unanswered.id);
-    m_callbacks.closed();
-}
-
-void caller_connection::noteGone()
-{
-    close();
+    end([this] { m_stream->closeWhenWritten(); });
 }
 
 void caller_connection::leave()
@@ -167,11 +156,16 @@
 
 void caller_connection::close()
 {
-    const auto self = shared_from_this();
+    end([this] { m_stream->close(); });
+}
+
+void caller_connection::end(const std::function<void()>& endStream)
+{
+    const auto self = shared_from_this(); // the owner may let go of it below
     if (std::exchange(m_closed, true))
         return;
     m_timer->stop();
-    m_stream->close();
+    endStream();
     for (const auto& unanswered : std::exchange(m_exchanges, {}))
         m_callbacks.gone(unanswered.id);
     m_callbacks.closed();
@@ -189,10 +183,4 @@
     m_timer->start(m_parser.hasBegun() ? m_limits.headerTimeout : m_limits.idleTimeout);
 }
 
-void caller_connection::noteTimeout()
-{
-    const auto self = shared_from_this();
-    finish();
-}
-
 } // namespace acaciaslip::transport::loop
--- a/src/transport/loop/caller_connection.hpp
+++ b/src/transport/loop/caller_connection.hpp
@@ -66,9 +66,8 @@
     void refuseBytes(protocol::http::parse_progress problem);
     void flush();
     void finish();
-    void noteGone();
+    void end(const std::function<void()>& endStream);
     void restartTimer();
-    void noteTimeout();
 
     connection_limits m_limits;
     caller_callbacks m_callbacks;
