--- a/src/transport/address.cpp
+++ b/src/app/address.cpp
@@ -1,9 +1,9 @@
-#include "transport/address.hpp"
+#include "app/address.hpp"
 
 #include <absl/strings/numbers.h>
 #include <fmt/format.h>
 
-namespace acaciaslip::transport {
+namespace acaciaslip::app {
 
 absl::StatusOr<address> parseAddress(std::string_view text)
 {
@@ -15,8 +15,8 @@
     const std::string port(text.substr(colon + 1));
     if (!absl::SimpleAtoi(port, &parsed.port) || parsed.port < 1 || parsed.port > highestPort)
         return absl::InvalidArgumentError(fmt::format("'{}' has no port between 1 and {}", text, highestPort));
-    parsed.ip = std::string(text.substr(0, colon));
+    parsed.host = std::string(text.substr(0, colon));
     return parsed;
 }
 
-} // namespace acaciaslip::transport
+} // namespace acaciaslip::app
--- a/src/transport/address.hpp
+++ b/src/app/address.hpp
@@ -5,16 +5,16 @@
 
 #include <absl/status/statusor.h>
 
-namespace acaciaslip::transport {
+namespace acaciaslip::app {
 
-/// An IP number and a port.
+/// A host that is called, by name or IP number, and a port.
 struct address {
-    std::string ip;
+    std::string host;
     int port = 0;
 };
 
-/// Reads "ip:port".
+/// Reads "host:port".
 /// \return the address, or an error that says what is wrong with it
 [[nodiscard]] absl::StatusOr<address> parseAddress(std::string_view text);
 
-} // namespace acaciaslip::transport
+} // namespace acaciaslip::app
--- a/src/app/operators_client.cpp
+++ b/src/app/operators_client.cpp
@@ -1,6 +1,6 @@
 #include "app/operators_client.hpp"
 
-#include "transport/address.hpp"
+#include "app/address.hpp"
 
 #include <chrono>
 #include <future>
@@ -18,10 +18,10 @@
 
 absl::StatusOr<std::string> call(const std::string& address, const char* method, const std::string& path)
 {
-    const auto parsed = transport::parseAddress(address);
+    const auto parsed = parseAddress(address);
     if (!parsed.ok())
         return parsed.status();
-    httplib::Client client(parsed->ip, parsed->port);
+    httplib::Client client(parsed->host, parsed->port);
     client.set_tcp_nodelay(true);
     client.set_connection_timeout(connectTimeout);
     client.set_read_timeout(answerTimeout);
--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -1,11 +1,11 @@
 #include "app/serve.hpp"
 
 #include "app/exit_codes.hpp"
-#include "app/signal_watch.hpp"
 #include "protocol/node_settings_reader.hpp"
-#include "transport/daemon.hpp"
-#include "transport/logger.hpp"
+#include "transport/loop/node_daemon.hpp"
+#include "transport/loop/signal_handler.hpp"
 
+#include <csignal>
 #include <cstdio>
 #include <fstream>
 #include <sstream>
@@ -31,11 +31,11 @@
     return protocol::readNodeSettings(text.str(), path);
 }
 
-void logStart(const state::node_settings& settings)
+coordination::log_event describeStart(const state::node_settings& settings)
 {
-    transport::writeLog({ coordination::log_level::info, "started",
+    return { coordination::log_level::info, "started",
         { { "version", ACACIASLIP_VERSION }, { "id", settings.id }, { "data_centre", settings.dataCentre },
-            { "callers", settings.callers }, { "peers", settings.peers }, { "operators", settings.operators } } });
+            { "callers", settings.callers }, { "peers", settings.peers }, { "operators", settings.operators } } };
 }
 
 } // namespace
@@ -45,20 +45,23 @@
     const auto settings = loadSettings(settingsFile);
     if (!settings.ok())
         return sayNo(settings.status());
-    const auto level = state::findValue<coordination::log_level>(coordination::logLevelNames, settings->logLevel);
-    transport::setLogLevel(level.value_or(coordination::log_level::info));
-    signal_watch signals;
-    transport::daemon daemon(*settings);
+    // A write to a connection that the other side has closed is told by its result.
+    (void)std::signal(SIGPIPE, SIG_IGN);
+    transport::loop::node_daemon daemon(*settings);
     if (const auto status = daemon.start(); !status.ok())
         return sayNo(status);
-    logStart(*settings);
-    signals.start([&daemon](int number) {
-        transport::writeLog({ coordination::log_level::info, "signal", { { "number", std::to_string(number) } } });
+    transport::loop::signal_handler signals(daemon.loop(), { SIGTERM, SIGINT }, [&daemon](int number) {
+        daemon.log({ coordination::log_level::info, "signal", { { "number", std::to_string(number) } } });
         daemon.drain();
     });
-    daemon.join();
-    signals.stop();
-    transport::writeLog({ coordination::log_level::info, "stopped", { { "id", settings->id } } });
+    daemon.setClosing([&] {
+        signals.close();
+        daemon.log({ coordination::log_level::info, "stopped", { { "id", settings->id } } });
+    });
+    daemon.log(describeStart(*settings));
+    for (const auto& key : settings->ignoredKeys)
+        daemon.log({ coordination::log_level::warning, "setting_ignored", { { "key", key } } });
+    daemon.run();
     return exitDone;
 }
 
--- a/src/protocol/body_reader.cpp
+++ b/src/protocol/http/body_reader.cpp
@@ -1,9 +1,10 @@
-#include "protocol/body_reader.hpp"
+#include "protocol/http/body_reader.hpp"
 
 #include <algorithm>
 #include <charconv>
+#include <utility>
 
-namespace acaciaslip::protocol {
+namespace acaciaslip::protocol::http {
 
 namespace {
 
@@ -20,49 +21,57 @@
 {
     if (framing == body_framing::chunked)
         m_stage = stage::chunk_size;
+    else if (framing == body_framing::connection_end)
+        m_stage = stage::rest;
     else if (m_left > 0)
         m_stage = stage::content;
 }
 
-body_progress body_reader::take(std::string_view& input)
+parse_progress body_reader::take(std::string_view& input)
 {
     while (m_stage != stage::whole) {
         if (input.empty())
-            return body_progress::more;
+            return parse_progress::more;
+        if (m_stage == stage::rest) {
+            if (input.size() > m_mostBytes - m_content.size())
+                return parse_progress::body_too_large;
+            m_content.append(std::exchange(input, {}));
+            return parse_progress::more;
+        }
         if (m_stage == stage::content || m_stage == stage::chunk) {
             takeContent(input);
             continue;
         }
         const auto progress = takeLine(input);
-        if (progress != body_progress::whole)
+        if (progress != parse_progress::whole)
             return progress;
-        if (const auto used = useLine(); used != body_progress::more)
+        if (const auto used = useLine(); used != parse_progress::more)
             return used;
     }
-    return body_progress::whole;
+    return parse_progress::whole;
 }
 
 /// Gathers a line up to its CRLF. \return whole when m_line holds it without the CRLF
-body_progress body_reader::takeLine(std::string_view& input)
+parse_progress body_reader::takeLine(std::string_view& input)
 {
     const auto end = input.find('\n');
     const auto taken = end == std::string_view::npos ? input.size() : end + 1;
     if (m_line.size() + taken > mostLineBytes)
-        return body_progress::malformed;
+        return parse_progress::malformed;
     m_line.append(input.substr(0, taken));
     input.remove_prefix(taken);
     if (end == std::string_view::npos)
-        return body_progress::more;
+        return parse_progress::more;
     if (m_line.size() < 2 || m_line[m_line.size() - 2] != '\r')
-        return body_progress::malformed;
+        return parse_progress::malformed;
     m_line.resize(m_line.size() - 2);
     if (m_line.find('\r') != std::string::npos || m_line.find('\0') != std::string::npos)
-        return body_progress::malformed;
-    return body_progress::whole;
+        return parse_progress::malformed;
+    return parse_progress::whole;
 }
 
 /// Uses the gathered line. \return more when the body goes on
-body_progress body_reader::useLine()
+parse_progress body_reader::useLine()
 {
     const bool isEmpty = m_line.empty();
     switch (m_stage) {
@@ -70,31 +79,31 @@
         return startChunk();
     case stage::chunk_end:
         if (!isEmpty)
-            return body_progress::malformed;
+            return parse_progress::malformed;
         m_stage = stage::chunk_size;
-        return body_progress::more;
+        return parse_progress::more;
     default: // a trailer: read and left out
         m_line.clear();
         if (!isEmpty)
-            return body_progress::more;
+            return parse_progress::more;
         m_stage = stage::whole;
-        return body_progress::whole;
+        return parse_progress::whole;
     }
 }
 
-body_progress body_reader::startChunk()
+parse_progress body_reader::startChunk()
 {
     const auto digits = std::min(m_line.find(';'), m_line.size());
     std::uint64_t size = 0;
     const auto [end, problem] = std::from_chars(m_line.data(), m_line.data() + digits, size, hexadecimal);
     if (problem != std::errc {} || end != m_line.data() + digits || digits == 0 || digits > mostSizeDigits)
-        return body_progress::malformed;
+        return parse_progress::malformed;
     m_line.clear();
     if (size > m_mostBytes - m_content.size())
-        return body_progress::too_large;
+        return parse_progress::body_too_large;
     m_left = size;
     m_stage = size == 0 ? stage::trailer : stage::chunk;
-    return body_progress::more;
+    return parse_progress::more;
 }
 
 void body_reader::takeContent(std::string_view& input)
@@ -109,4 +118,4 @@
         m_stage = m_stage == stage::chunk ? stage::chunk_end : stage::whole;
 }
 
-} // namespace acaciaslip::protocol
+} // namespace acaciaslip::protocol::http
--- a/src/protocol/body_reader.hpp
+++ b/src/protocol/http/body_reader.hpp
@@ -1,20 +1,12 @@
 #pragma once
 
-#include "protocol/http_head.hpp"
+#include "protocol/http/head_reader.hpp"
 
 #include <cstdint>
 #include <string>
 #include <string_view>
 
-namespace acaciaslip::protocol {
-
-/// How far a body has been read.
-enum class body_progress {
-    more, ///< bytes are missing
-    whole,
-    malformed, ///< a chunk is not well formed
-    too_large,
-};
+namespace acaciaslip::protocol::http {
 
 /// Takes a body's bytes as they come and gives its content; strict about chunks.
 class body_reader {
@@ -27,17 +19,17 @@
 
     /// Takes bytes off the front of the input, none beyond the body's end.
     /// \param input what has arrived; shortened by what was taken
-    body_progress take(std::string_view& input);
+    parse_progress take(std::string_view& input);
 
     /// The content read so far.
     [[nodiscard]] std::string& content() noexcept { return m_content; }
 
 private:
-    enum class stage { content, chunk_size, chunk, chunk_end, trailer, whole };
+    enum class stage { content, rest, chunk_size, chunk, chunk_end, trailer, whole };
 
-    body_progress takeLine(std::string_view& input);
-    body_progress useLine();
-    body_progress startChunk();
+    parse_progress takeLine(std::string_view& input);
+    parse_progress useLine();
+    parse_progress startChunk();
     void takeContent(std::string_view& input);
 
     stage m_stage = stage::whole;
@@ -47,4 +39,4 @@
     std::string m_content;
 };
 
-} // namespace acaciaslip::protocol
+} // namespace acaciaslip::protocol::http
--- /dev/null
+++ b/src/protocol/http/head_reader.cpp
@@ -0,0 +1,215 @@
+#include "protocol/http/head_reader.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <optional>
+#include <utility>
+
+namespace acaciaslip::protocol::http {
+
+namespace {
+
+constexpr std::string_view lineEnd = "\r\n";
+constexpr int statusContinue = 100;
+constexpr int statusOk = 200;
+constexpr int statusNoContent = 204;
+constexpr int statusNotModified = 304;
+
+/// What the headers say of the connection and of the body's end.
+struct framing_fields {
+    std::optional<std::string_view> length;
+    std::optional<std::string_view> encoding;
+    bool close = false;
+    bool keepAlive = false;
+    bool expectsContinue = false;
+};
+
+bool isValueCharacter(char letter) noexcept
+{
+    const auto code = static_cast<unsigned char>(letter);
+    return letter == '\t' || (code >= ' ' && code != 0x7f);
+}
+
+bool isValue(std::string_view text) noexcept
+{
+    return std::all_of(text.begin(), text.end(), isValueCharacter);
+}
+
+bool isTarget(std::string_view text) noexcept
+{
+    return !text.empty() && std::all_of(text.begin(), text.end(), [](char letter) {
+        return letter > ' ' && letter < 0x7f && letter != '#';
+    });
+}
+
+/// Takes the next line off the text; nothing when no CRLF ends it.
+std::optional<std::string_view> takeLine(std::string_view& text) noexcept
+{
+    const auto end = text.find(lineEnd);
+    if (end == std::string_view::npos)
+        return std::nullopt;
+    const auto line = text.substr(0, end);
+    text.remove_prefix(end + lineEnd.size());
+    return line;
+}
+
+/// Reads every header line; one that is folded begins with a space, which is no name.
+/// \return whole, or what is wrong
+parse_progress readFields(std::string_view text, const message_limits& limits, std::vector<header_field>& fields)
+{
+    for (;;) {
+        const auto line = takeLine(text);
+        if (!line)
+            return parse_progress::malformed;
+        if (line->empty())
+            return text.empty() ? parse_progress::whole : parse_progress::malformed;
+        const auto colon = line->find(':');
+        if (colon == std::string_view::npos || !isToken(line->substr(0, colon)))
+            return parse_progress::malformed;
+        const auto value = trim(line->substr(colon + 1));
+        if (!isValue(value))
+            return parse_progress::malformed;
+        if (line->size() > limits.lineBytes || fields.size() >= limits.headers)
+            return parse_progress::head_too_large;
+        fields.push_back({ std::string(line->substr(0, colon)), std::string(value) });
+    }
+}
+
+/// Picks out what tells the framing; nothing when some of it stands twice.
+std::optional<framing_fields> pickFraming(const message& head)
+{
+    framing_fields found;
+    if (countHeaders(head, "Content-Length") > 1 || countHeaders(head, "Transfer-Encoding") > 1)
+        return std::nullopt;
+    found.length = findHeader(head, "Content-Length");
+    found.encoding = findHeader(head, "Transfer-Encoding");
+    for (const auto& option : listedConnectionHeaders(head)) {
+        found.close |= equalsIgnoringCase(option, "close");
+        found.keepAlive |= equalsIgnoringCase(option, "keep-alive");
+    }
+    const auto expect = findHeader(head, "Expect");
+    found.expectsContinue = expect && equalsIgnoringCase(*expect, "100-continue");
+    if (found.length && found.encoding)
+        return std::nullopt;
+    if (found.encoding && (!head.isHttp11 || !equalsIgnoringCase(*found.encoding, "chunked")))
+        return std::nullopt;
+    return found;
+}
+
+/// Sets how the body's end is told, once it is clear that one may follow.
+parse_progress setFraming(message_head& head, const framing_fields& found, const message_limits& limits)
+{
+    if (found.encoding) {
+        head.framing = body_framing::chunked;
+    } else if (found.length) {
+        const auto length = readNumber(*found.length);
+        if (!length)
+            return parse_progress::malformed;
+        if (*length > limits.bodyBytes)
+            return parse_progress::body_too_large;
+        head.bodyLength = *length;
+        head.framing = *length > 0 ? body_framing::length : body_framing::none;
+    }
+    return parse_progress::whole;
+}
+
+/// Reads "HTTP/1.1".
+parse_progress readVersion(std::string_view text, bool& isHttp11) noexcept
+{
+    isHttp11 = text == "HTTP/1.1";
+    if (isHttp11 || text == "HTTP/1.0")
+        return parse_progress::whole;
+    return text.starts_with("HTTP/") ? parse_progress::unknown_version : parse_progress::malformed;
+}
+
+parse_progress readRequestLine(std::string_view line, const message_limits& limits, message& request)
+{
+    const auto first = line.find(' ');
+    const auto last = line.rfind(' ');
+    if (first == std::string_view::npos || first == last)
+        return parse_progress::malformed;
+    const auto method = line.substr(0, first);
+    const auto target = line.substr(first + 1, last - first - 1);
+    if (!isToken(method) || !isTarget(target))
+        return parse_progress::malformed;
+    if (const auto read = readVersion(line.substr(last + 1), request.isHttp11); read != parse_progress::whole)
+        return read;
+    if (line.size() > limits.lineBytes)
+        return parse_progress::target_too_long;
+    request.method = method;
+    request.target = target;
+    return parse_progress::whole;
+}
+
+/// Reads "HTTP/1.1 200 OK".
+parse_progress readStatusLine(std::string_view line, message& answer)
+{
+    constexpr std::size_t versionSize = 8;
+    constexpr std::size_t statusDigits = 3;
+    if (readVersion(line.substr(0, versionSize), answer.isHttp11) != parse_progress::whole)
+        return parse_progress::malformed;
+    auto rest = line.substr(versionSize);
+    if (rest.size() <= statusDigits || rest.front() != ' ')
+        return parse_progress::malformed;
+    rest.remove_prefix(1);
+    const auto [end, problem] = std::from_chars(rest.data(), rest.data() + statusDigits, answer.status);
+    if (problem != std::errc {} || end != rest.data() + statusDigits || answer.status < statusContinue)
+        return parse_progress::malformed;
+    rest.remove_prefix(statusDigits);
+    if (!rest.empty() && (rest.front() != ' ' || !isValue(rest)))
+        return parse_progress::malformed;
+    answer.reason = rest.empty() ? rest : rest.substr(1);
+    return parse_progress::whole;
+}
+
+} // namespace
+
+std::variant<message_head, parse_progress> readRequestHead(std::string_view text, const message_limits& limits)
+{
+    message_head head;
+    const auto line = takeLine(text);
+    if (!line)
+        return parse_progress::malformed;
+    if (const auto read = readRequestLine(*line, limits, head.start); read != parse_progress::whole)
+        return read;
+    if (const auto read = readFields(text, limits, head.start.headers); read != parse_progress::whole)
+        return read;
+    const auto found = pickFraming(head.start);
+    if (!found)
+        return parse_progress::malformed;
+    head.start.keepAlive = !found->close && (head.start.isHttp11 || found->keepAlive);
+    head.start.expectsContinue = found->expectsContinue && head.start.isHttp11;
+    if (const auto read = setFraming(head, *found, limits); read != parse_progress::whole)
+        return read;
+    return head;
+}
+
+std::variant<message_head, parse_progress> readAnswerHead(
+    std::string_view text, bool toHead, const message_limits& limits)
+{
+    message_head head;
+    auto& answer = head.start;
+    const auto line = takeLine(text);
+    if (!line)
+        return parse_progress::malformed;
+    if (const auto read = readStatusLine(*line, answer); read != parse_progress::whole)
+        return read;
+    if (const auto read = readFields(text, limits, answer.headers); read != parse_progress::whole)
+        return read;
+    const auto found = pickFraming(answer);
+    if (!found || (found->length && !readNumber(*found->length)))
+        return parse_progress::malformed;
+    answer.keepAlive = !found->close && (answer.isHttp11 || found->keepAlive);
+    if (toHead || answer.status < statusOk || answer.status == statusNoContent || answer.status == statusNotModified)
+        return head;
+    if (const auto read = setFraming(head, *found, limits); read != parse_progress::whole)
+        return read;
+    if (!found->length && !found->encoding) {
+        head.framing = body_framing::connection_end;
+        answer.endsWithConnection = true;
+        answer.keepAlive = false;
+    }
+    return head;
+}
+
+} // namespace acaciaslip::protocol::http
--- a/src/protocol/http/message.cpp
+++ b/src/protocol/http/message.cpp
@@ -1,13 +1,13 @@
 #include "protocol/http/message.hpp"
 
-#include "protocol/http_head.hpp"
-
 #include <algorithm>
 #include <array>
+#include <charconv>
 #include <iterator>
 
 #include <absl/algorithm/container.h>
 #include <fmt/format.h>
+#include <strings.h>
 
 namespace acaciaslip::protocol::http {
 
@@ -22,21 +22,69 @@
     std::string_view phrase;
 };
 
-constexpr std::array<status_phrase, 10> phrases { {
+constexpr std::array<status_phrase, 15> phrases { {
     { 200, "OK" },
     { 400, "Bad Request" },
     { 404, "Not Found" },
     { 405, "Method Not Allowed" },
     { 408, "Request Timeout" },
+    { 409, "Conflict" },
     { 413, "Content Too Large" },
+    { 414, "URI Too Long" },
+    { 417, "Expectation Failed" },
     { 431, "Request Header Fields Too Large" },
+    { 501, "Not Implemented" },
     { 502, "Bad Gateway" },
     { 503, "Service Unavailable" },
     { 504, "Gateway Timeout" },
+    { 505, "HTTP Version Not Supported" },
 } };
 
+bool isTokenCharacter(char letter) noexcept
+{
+    if ((letter >= '0' && letter <= '9') || (letter >= 'a' && letter <= 'z') || (letter >= 'A' && letter <= 'Z'))
+        return true;
+    return letter != '\0' && std::string_view("!#$%&'*+-.^_`|~").find(letter) != std::string_view::npos;
+}
+
 } // namespace
 
+bool isToken(std::string_view text) noexcept
+{
+    return !text.empty() && std::all_of(text.begin(), text.end(), isTokenCharacter);
+}
+
+std::string_view trim(std::string_view text) noexcept
+{
+    const auto first = text.find_first_not_of(" \t");
+    if (first == std::string_view::npos)
+        return {};
+    return text.substr(first, text.find_last_not_of(" \t") - first + 1);
+}
+
+bool equalsIgnoringCase(std::string_view left, std::string_view right) noexcept
+{
+    return left.size() == right.size() && strncasecmp(left.data(), right.data(), left.size()) == 0;
+}
+
+std::vector<std::string> splitList(std::string_view value)
+{
+    std::vector<std::string> names;
+    while (!value.empty()) {
+        const auto comma = std::min(value.find(','), value.size());
+        if (const auto name = trim(value.substr(0, comma)); !name.empty())
+            names.emplace_back(name);
+        value.remove_prefix(std::min(comma + 1, value.size()));
+    }
+    return names;
+}
+
+std::size_t countHeaders(const message& from, std::string_view name) noexcept
+{
+    return static_cast<std::size_t>(absl::c_count_if(
+        from.headers, [&](const header_field& header) { return equalsIgnoringCase(header.name, name); }));
+}
+
 std::optional<std::string_view> findHeader(const message& from, std::string_view name) noexcept
 {
     for (const auto& header : from.headers) {
@@ -68,6 +116,39 @@
     return target.substr(0, target.find('?'));
 }
 
+std::string decodePercent(std::string_view text)
+{
+    constexpr std::size_t digits = 2;
+    constexpr int hexadecimal = 16;
+    std::string decoded;
+    for (std::size_t at = 0; at < text.size(); ++at) {
+        unsigned char byte = 0;
+        const auto* const first = text.data() + at + 1;
+        if (text[at] == '%' && at + digits < text.size()
+            && std::from_chars(first, first + digits, byte, hexadecimal).ptr == first + digits) {
+            decoded += static_cast<char>(byte);
+            at += digits;
+        } else {
+            decoded += text[at];
+        }
+    }
+    return decoded;
+}
+
+std::optional<std::uint64_t> readNumber(std::string_view text) noexcept
+{
+    std::uint64_t number = 0;
+    const auto [end, problem] = std::from_chars(text.data(), text.data() + text.size(), number);
+    if (text.empty() || problem != std::errc {} || end != text.data() + text.size())
+        return std::nullopt;
+    return number;
+}
+
+bool needsLength(const message& request) noexcept
+{
+    return !request.body.empty() || request.method == "POST" || request.method == "PUT" || request.method == "PATCH";
+}
+
 std::optional<std::string_view> findParameter(std::string_view target, std::string_view name) noexcept
 {
     const auto start = target.find('?');
--- a/src/protocol/http/message.hpp
+++ b/src/protocol/http/message.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -21,11 +22,27 @@
     std::string reason; ///< of an answer
     std::vector<header_field> headers;
     std::string body; ///< chunks put together
+    bool isHttp11 = true; ///< HTTP/1.0 otherwise
     bool keepAlive = true; ///< the connection may carry another message
     bool endsWithConnection = false; ///< the body's length was told by the end of the connection only
     bool expectsContinue = false; ///< the sender waits for status 100 before it sends the body
 };
 
+/// Compares names of headers.
+[[nodiscard]] bool equalsIgnoringCase(std::string_view left, std::string_view right) noexcept;
+
+/// Whether a text may be a method or the name of a header.
+[[nodiscard]] bool isToken(std::string_view text) noexcept;
+
+/// A text without the spaces and tabs around it.
+[[nodiscard]] std::string_view trim(std::string_view text) noexcept;
+
+/// The entries of a header value that is a list separated by commas.
+[[nodiscard]] std::vector<std::string> splitList(std::string_view value);
+
+/// How many headers of a name there are.
+[[nodiscard]] std::size_t countHeaders(const message& from, std::string_view name) noexcept;
+
 /// Finds the first header of a name, whatever its case.
 [[nodiscard]] std::optional<std::string_view> findHeader(const message& from, std::string_view name) noexcept;
 
@@ -38,6 +55,15 @@
 /// The path of a target, without its query.
 [[nodiscard]] std::string_view pathOf(std::string_view target) noexcept;
 
+/// Replaces each "%" with two hexadecimal digits by the byte that they tell; others stay.
+[[nodiscard]] std::string decodePercent(std::string_view text);
+
+/// Reads a text that is a whole decimal number without a sign.
+[[nodiscard]] std::optional<std::uint64_t> readNumber(std::string_view text) noexcept;
+
+/// Whether a request is to be sent with a Content-Length: it has a body, or a method that usually has one.
+[[nodiscard]] bool needsLength(const message& request) noexcept;
+
 /// The value of a query's parameter, decoded of nothing.
 /// \return the value, or nothing when the target has no such parameter
 [[nodiscard]] std::optional<std::string_view> findParameter(std::string_view target, std::string_view name) noexcept;
--- a/src/protocol/http/message_parser.hpp
+++ b/src/protocol/http/message_parser.hpp
@@ -1,10 +1,11 @@
 #pragma once
 
+#include "protocol/http/body_reader.hpp"
+#include "protocol/http/head_reader.hpp"
 #include "protocol/http/message.hpp"
+#include "protocol/http/parsing.hpp"
 
-#include <cstddef>
-#include <cstdint>
-#include <memory>
+#include <string>
 #include <string_view>
 
 namespace acaciaslip::protocol::http {
@@ -12,28 +13,13 @@
 /// Which side of a connection is read.
 enum class message_side { requests, answers };
 
-/// What a message may take up.
-struct message_limits {
-    std::size_t headBytes = 65536; ///< start line and headers together
-    std::uint64_t bodyBytes = 67108864;
-};
-
-/// How far a message has been read.
-enum class parse_progress {
-    more, ///< bytes are missing
-    whole,
-    malformed,
-    head_too_large,
-    body_too_large,
-};
-
 /// Reads messages off one connection, one after the other.
+///
+/// Strict: a message that another reader might take for something else is malformed, since what is behind it might then
+/// run as a request that nobody sent.
 class message_parser {
 public:
     message_parser(message_side side, message_limits limits);
-    ~message_parser();
-    message_parser(const message_parser&) = delete;
-    message_parser& operator=(const message_parser&) = delete;
 
     /// Takes bytes off the front of the input, none beyond the message's end.
     /// \param input what has arrived; shortened by what was taken
@@ -55,11 +41,18 @@
     /// The message that was read whole; the parser goes on with the next one.
     [[nodiscard]] message takeMessage();
 
-    void setLimits(message_limits limits) noexcept;
-
 private:
-    struct parts;
-    std::unique_ptr<parts> m_parts;
+    enum class stage { head, body, whole };
+
+    [[nodiscard]] parse_progress takeHead(std::string_view& input);
+
+    message_side m_side;
+    message_limits m_limits;
+    stage m_stage = stage::head;
+    bool m_noBody = false;
+    std::string m_head; ///< as far as it has come, and until the message is taken
+    message m_current;
+    body_reader m_body;
 };
 
 } // namespace acaciaslip::protocol::http
--- a/src/protocol/node_settings_reader.cpp
+++ b/src/protocol/node_settings_reader.cpp
@@ -28,6 +28,14 @@
     return addresses;
 }
 
+/// Checks a key that earlier versions used.
+void ignoreInteger(state::node_settings& settings, std::string_view key, const located_value& value,
+    const number_bounds& bounds, issue_list& issues)
+{
+    if (readInteger(value, bounds, issues))
+        settings.ignoredKeys.emplace_back(key);
+}
+
 void readRequired(state::node_settings& settings, const located_value& root, issue_list& issues)
 {
     if (const auto id = require(root, "id", issues))
@@ -61,7 +69,7 @@
             settings.logLevel = level->value->text;
     }
     if (const auto threads = find(root, "caller_threads"))
-        assign(settings.callerThreads, readInteger(*threads, threadBounds, issues));
+        ignoreInteger(settings, "caller_threads", *threads, threadBounds, issues);
     if (const auto bytes = find(root, "max_body_bytes"))
         assign(settings.maxBodyBytes, readInteger(*bytes, bodyBounds, issues));
 }
--- a/src/protocol/server_dialect.cpp
+++ b/src/protocol/server_dialect.cpp
@@ -1,7 +1,5 @@
 #include "protocol/server_dialect.hpp"
 
-#include "protocol/http_head.hpp"
-
 #include <algorithm>
 #include <charconv>
 
@@ -12,6 +10,7 @@
 namespace {
 
 using coordination::gateway::ask_outcome;
+using http::equalsIgnoringCase;
 using http::findHeader;
 
 constexpr int statusOk = 200;
@@ -48,11 +47,6 @@
     }
 }
 
-bool needsLength(const http::message& request)
-{
-    return !request.body.empty() || request.method == "POST" || request.method == "PUT" || request.method == "PATCH";
-}
-
 } // namespace
 
 bool answersRequest(const server_dialect& dialect, const http::message& answer, std::string_view id)
@@ -111,7 +105,7 @@
     appendForwarded(written, request, { dialect.names.timeout, dialect.names.expectedServer, "Expect" });
     http::appendHeader(written, dialect.names.timeout, std::to_string(milliseconds));
     http::appendHeader(written, dialect.names.expectedServer, server);
-    if (needsLength(request))
+    if (http::needsLength(request))
         http::appendHeader(written, "Content-Length", std::to_string(request.body.size()));
     written.append("\r\n").append(request.body);
     return written;
--- a/src/state/node_settings.hpp
+++ b/src/state/node_settings.hpp
@@ -19,7 +19,7 @@
     std::vector<std::string> seedPeers; ///< "ip:port" of nodes to ask when the platform is down at the start
     duration lameDuck = std::chrono::seconds { 2 }; ///< between announcing that we leave and refusing new work
     std::string logLevel = "info";
-    std::uint32_t callerThreads = 128;
+    std::vector<std::string> ignoredKeys; ///< still taken, so that files of earlier versions start a node
     std::uint64_t maxBodyBytes = 8ULL * 1024 * 1024;
 };
 
--- a/src/transport/logger.cpp
+++ b/src/transport/log_line.cpp
@@ -1,8 +1,6 @@
-#include "transport/logger.hpp"
+#include "transport/log_line.hpp"
 
-#include <atomic>
 #include <chrono>
-#include <cstdio>
 #include <string>
 
 #include <fmt/chrono.h>
@@ -14,8 +12,6 @@
 
 constexpr int millisecondsPerSecond = 1000;
 
-std::atomic<coordination::log_level> lowestLevel { coordination::log_level::info };
-
 bool needsQuotes(std::string_view value)
 {
     if (value.empty())
@@ -47,11 +43,6 @@
 
 } // namespace
 
-void setLogLevel(coordination::log_level lowest) noexcept
-{
-    lowestLevel = lowest;
-}
-
 std::string formatLogLine(const coordination::log_event& event, std::chrono::system_clock::time_point now)
 {
     const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count();
@@ -68,12 +59,4 @@
     return line;
 }
 
-void writeLog(const coordination::log_event& event)
-{
-    if (event.level < lowestLevel)
-        return;
-    const auto line = formatLogLine(event, std::chrono::system_clock::now()) + '\n';
-    std::fwrite(line.data(), 1, line.size(), stderr);
-}
-
 } // namespace acaciaslip::transport
--- a/src/transport/loop/caller_connection.hpp
+++ b/src/transport/loop/caller_connection.hpp
@@ -18,8 +18,11 @@
 /// What a connection may take up, as the configuration in force says.
 struct connection_limits {
     protocol::http::message_limits message;
-    state::duration headerTimeout = std::chrono::seconds { 3 };
+    state::duration headerTimeout = std::chrono::seconds { 3 }; ///< between two pieces of a request
     state::duration idleTimeout = std::chrono::seconds { 15 };
+    std::optional<state::duration> requestTimeout; ///< from a request's first byte to its last; none: not limited
+    /// Whether a caller that sends no more but still reads gets its answers; otherwise its end cancels its requests.
+    bool answersHalfClosed = false;
 };
 
 /// What a caller's connection tells its owner.
@@ -28,6 +31,8 @@
     std::function<void(state::request_id, protocol::http::message)> arrived; ///< a request was read whole
     std::function<void(state::request_id)> gone; ///< nobody waits for this request's answer any more
     std::function<void()> closed;
+    /// Writes the answer to what cannot be read as a request.
+    std::function<std::string(int status, std::string_view reason)> refuse;
 };
 
 /// A caller's connection. Reads further requests while earlier ones are in progress and answers in their order.
@@ -42,8 +47,15 @@
     /// \param close no further request is read from this connection, and it ends after this answer
     void answer(state::request_id id, std::string bytes, bool close);
 
-    /// Closes the connection if no request is in progress or half read, and when the last one is answered otherwise.
-    void leave();
+    /// Closes the connection once no request is in progress or half read.
+    /// \param quiet how long it must have been idle: a request may be on its way
+    void leave(state::duration quiet = {});
+
+    /// Reads nothing more, answers with a refusal behind the answers that are due, and closes.
+    void refuse(int status, std::string_view reason);
+
+    /// Refuses a request of which only a part has come.
+    void refusePartial(int status, std::string_view reason);
 
     /// Closes at once.
     void close();
@@ -56,6 +68,7 @@
         state::request_id id {};
         std::optional<std::string> answer;
         bool closes = false; ///< the caller asked to close after it, or we do
+        bool isHttp11 = true;
     };
 
     explicit caller_connection(connection_limits limits, caller_callbacks callbacks);
@@ -63,10 +76,12 @@
     void noteReceived(std::string_view bytes);
     void readRequests();
     void takeRequest();
-    void refuseBytes(protocol::http::parse_progress problem);
+    void noteEnded();
+    void noteTimeout();
+    void probeReset();
     void flush();
     void finish();
-    void end(const std::function<void()>& endStream);
+    bool end();
     void restartTimer();
 
     connection_limits m_limits;
@@ -78,7 +93,9 @@
     std::deque<exchange> m_exchanges;
     bool m_reading = false; ///< requests are being taken off `m_unread`
     bool m_lastRead = false; ///< no further request is read
-    bool m_leaving = false;
+    bool m_ended = false; ///< the caller sends no more
+    std::optional<state::duration> m_leaving; ///< closes after being idle so long
+    std::optional<state::time_point> m_begunAt; ///< first byte of the request that is being read
     bool m_closed = false;
 };
 
--- a/src/transport/loop/caller_edge.cpp
+++ b/src/transport/loop/caller_edge.cpp
@@ -45,7 +45,13 @@
 caller_edge::caller_edge(uv_loop_t* loop, const protocol::server_dialect& dialect, event_sink sink)
     : m_dialect(dialect)
     , m_sink(std::move(sink))
-    , m_listener(loop, [this](uv_stream_t* listener) { accept(listener); })
+    , m_listener(loop,
+          { [this](auto id, const auto& from, auto request) { noteArrived(id, from, std::move(request)); },
+              [this](state::request_id id) {
+                  if (m_requests.erase(static_cast<std::uint64_t>(id)) > 0)
+                      m_sink(coordination::gateway::caller_gone { id });
+              },
+              {} })
 {
 }
 
@@ -54,31 +60,8 @@
     return m_listener.listen(address);
 }
 
-void caller_edge::accept(uv_stream_t* listener)
-{
-    const auto holder = std::make_shared<std::weak_ptr<caller_connection>>();
-    caller_callbacks callbacks;
-    callbacks.number = [this] { return state::request_id { m_nextRequest++ }; };
-    callbacks.arrived = [this, holder](state::request_id id, protocol::http::message request) {
-        noteArrived(*holder, id, std::move(request));
-    };
-    callbacks.gone = [this](state::request_id id) {
-        if (m_requests.erase(static_cast<std::uint64_t>(id)) > 0)
-            m_sink(coordination::gateway::caller_gone { id });
-    };
-    callbacks.closed = [this, holder] {
-        if (const auto connection = holder->lock())
-            m_connections.erase(connection);
-    };
-    const auto connection = caller_connection::accept(listener, m_limits, std::move(callbacks));
-    if (!connection)
-        return;
-    *holder = connection;
-    m_connections.insert(connection);
-}
-
 void caller_edge::noteArrived(
-    const std::weak_ptr<caller_connection>& from, state::request_id id, protocol::http::message request)
+    state::request_id id, const std::shared_ptr<caller_connection>& from, protocol::http::message request)
 {
     coordination::gateway::request_arrived arrived;
     arrived.id = id;
@@ -133,26 +116,7 @@
 
 void caller_edge::leave()
 {
-    const auto connections = m_connections;
-    for (const auto& connection : connections)
-        connection->leave();
-}
-
-bool caller_edge::isQuiet() const
-{
-    for (const auto& connection : m_connections) {
-        if (!connection->isQuiet())
-            return false;
-    }
-    return true;
-}
-
-void caller_edge::close()
-{
-    m_listener.close();
-    const auto connections = m_connections;
-    for (const auto& connection : connections)
-        connection->close();
+    m_listener.forEach([](caller_connection& connection) { connection.leave(); });
 }
 
 } // namespace acaciaslip::transport::loop
--- a/src/transport/loop/caller_edge.hpp
+++ b/src/transport/loop/caller_edge.hpp
@@ -3,14 +3,12 @@
 #include "coordination/gateway/effects.hpp"
 #include "coordination/gateway/events.hpp"
 #include "protocol/server_dialect.hpp"
-#include "transport/loop/caller_connection.hpp"
-#include "transport/loop/tcp_listener.hpp"
+#include "transport/loop/caller_listener.hpp"
 
 #include <functional>
 #include <memory>
 #include <string>
 #include <unordered_map>
-#include <unordered_set>
 
 namespace acaciaslip::transport::loop {
 
@@ -26,7 +24,7 @@
     [[nodiscard]] int port() const { return m_listener.port(); }
 
     /// What new connections may take up; open ones keep what they have.
-    void setLimits(const connection_limits& limits) { m_limits = limits; }
+    void setLimits(const connection_limits& limits) { m_listener.setLimits(limits); }
 
     /// The request as its caller sent it; null when the caller has gone.
     [[nodiscard]] const protocol::http::message* findRequest(state::request_id id) const;
@@ -41,9 +39,9 @@
     void leave();
 
     /// Whether every answer is with the system.
-    [[nodiscard]] bool isQuiet() const;
+    [[nodiscard]] bool isQuiet() const { return m_listener.isQuiet(); }
 
-    void close();
+    void close() { m_listener.close(); }
 
 private:
     struct waiting_request {
@@ -51,18 +49,14 @@
         std::weak_ptr<caller_connection> connection;
     };
 
-    void accept(uv_stream_t* listener);
     void noteArrived(
-        const std::weak_ptr<caller_connection>& from, state::request_id id, protocol::http::message request);
+        state::request_id id, const std::shared_ptr<caller_connection>& from, protocol::http::message request);
     void finish(state::request_id id, std::string bytes, bool close);
 
     const protocol::server_dialect& m_dialect;
     event_sink m_sink;
-    tcp_listener m_listener;
-    connection_limits m_limits;
-    std::unordered_set<std::shared_ptr<caller_connection>> m_connections;
+    caller_listener m_listener;
     std::unordered_map<std::uint64_t, waiting_request> m_requests; ///< by request id
-    std::uint64_t m_nextRequest = 1;
 };
 
 } // namespace acaciaslip::transport::loop
--- /dev/null
+++ b/src/transport/loop/caller_listener.cpp
@@ -0,0 +1,69 @@
+#include "transport/loop/caller_listener.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace acaciaslip::transport::loop {
+
+namespace {
+
+constexpr int statusUnavailable = 503;
+
+} // namespace
+
+caller_listener::caller_listener(uv_loop_t* loop, listener_callbacks callbacks)
+    : m_callbacks(std::move(callbacks))
+    , m_listener(loop, [this](uv_stream_t* listener) { accept(listener); })
+{
+}
+
+absl::Status caller_listener::listen(const std::string& address)
+{
+    return m_listener.listen(address);
+}
+
+void caller_listener::accept(uv_stream_t* listener)
+{
+    const auto holder = std::make_shared<std::weak_ptr<caller_connection>>();
+    caller_callbacks callbacks;
+    callbacks.number = [this] { return state::request_id { m_nextRequest++ }; };
+    callbacks.arrived = [this, holder](state::request_id id, protocol::http::message request) {
+        if (const auto connection = holder->lock())
+            m_callbacks.arrived(id, connection, std::move(request));
+    };
+    callbacks.gone = m_callbacks.gone;
+    callbacks.refuse = m_callbacks.refuse;
+    callbacks.closed = [this, holder] {
+        if (const auto connection = holder->lock())
+            m_connections.erase(connection);
+    };
+    const auto connection = caller_connection::accept(listener, m_limits, std::move(callbacks));
+    if (!connection)
+        return;
+    ++m_accepted;
+    *holder = connection;
+    m_connections.insert(connection);
+    if (m_connections.size() > m_mostConnections)
+        connection->refuse(statusUnavailable, "too many connections");
+}
+
+void caller_listener::forEach(const std::function<void(caller_connection&)>& call) const
+{
+    const auto connections = m_connections;
+    for (const auto& connection : connections)
+        call(*connection);
+}
+
+bool caller_listener::isQuiet() const
+{
+    return std::all_of(
+        m_connections.begin(), m_connections.end(), [](const auto& connection) { return connection->isQuiet(); });
+}
+
+void caller_listener::close()
+{
+    m_listener.close();
+    forEach([](caller_connection& connection) { connection.close(); });
+}
+
+} // namespace acaciaslip::transport::loop
--- a/src/transport/loop/gateway_daemon.cpp
+++ b/src/transport/loop/gateway_daemon.cpp
@@ -3,11 +3,9 @@
 #include "protocol/gateway_dump.hpp"
 #include "transport/loop/boot_clock.hpp"
 
-#include <random>
 #include <utility>
 
 #include <netinet/in.h>
-#include <unistd.h>
 
 namespace acaciaslip::transport::loop {
 
@@ -19,12 +17,6 @@
 constexpr int statusUnavailable = 503;
 constexpr int statusNotFound = 404;
 
-std::uint64_t makeSeed()
-{
-    std::random_device device;
-    return (static_cast<std::uint64_t>(device()) << 32U) | device();
-}
-
 int portOf(const std::string& address)
 {
     const auto parsed = parseAddress(address);
@@ -34,26 +26,27 @@
 } // namespace
 
 gateway_daemon::parts::parts(gateway_daemon& owner, const gateway_settings& settings)
-    : callers(&owner.m_loop, settings.dialect, [&owner](auto event) { owner.post(std::move(event)); })
+    : callers(owner.m_process.handle(), settings.dialect, [&owner](auto event) { owner.post(std::move(event)); })
     , servers(
-          &owner.m_loop, settings.dialect, [&owner](auto event) { owner.post(std::move(event)); },
+          owner.m_process.handle(), settings.dialect, [&owner](auto event) { owner.post(std::move(event)); },
           [this](state::request_id id) { return callers.findRequest(id); })
-    , health(&owner.m_loop,
-          [&owner](const protocol::http::message&) {
+    , health(owner.m_process.handle(),
+          [&owner](const protocol::http::message&, const http_service::reply& reply) {
               const bool ready = coordination::gateway::isReady(owner.m_node);
-              return service_answer { ready ? statusOk : statusUnavailable, "text/plain",
-                  ready ? "ready\n" : "not ready\n" };
+              reply({ ready ? statusOk : statusUnavailable, "text/plain", ready ? "ready\n" : "not ready\n" });
+          })
+    , operators(owner.m_process.handle(),
+          [&owner](const protocol::http::message& request, const http_service::reply& reply) {
+              reply(owner.answerOperator(request));
           })
-    , operators(
-          &owner.m_loop, [&owner](const protocol::http::message& request) { return owner.answerOperator(request); })
-    , peers(&owner.m_loop, settings.peerPort, portOf(settings.operators),
+    , peers(owner.m_process.handle(), settings.peerPort, portOf(settings.operators),
           [&owner](auto event) { owner.post(std::move(event)); })
-    , wakeUp(&owner.m_loop,
+    , wakeUp(owner.m_process.handle(),
           [&owner] {
               owner.m_wakeUpAt.reset();
               owner.post(coordination::gateway::timer_expired {});
           })
-    , exit(&owner.m_loop, [&owner] { owner.finishWhenQuiet(); })
+    , exit(owner.m_process.handle(), [&owner] { owner.finishWhenQuiet(); })
 {
 }
 
@@ -61,14 +54,13 @@
     : m_settings(std::move(settings))
     , m_node(coordination::gateway::makeNode(m_settings.node, bootNow()))
     , m_random(makeSeed())
-    , m_log(STDOUT_FILENO, m_settings.lowestLevel)
+    , m_process(m_settings.lowestLevel)
+    , m_queue([this](const auto& happened) { handle(happened); },
+          [this] {
+              applyChanges();
+              scheduleWakeUp();
+          })
 {
-    uv_loop_init(&m_loop);
-    // Lines go out once a turn of the loop, before it waits.
-    uv_prepare_init(&m_loop, &m_prepare);
-    m_prepare.data = this;
-    uv_prepare_start(
-        &m_prepare, [](uv_prepare_t* handle) { static_cast<gateway_daemon*>(handle->data)->m_log.flush(); });
     m_parts = std::make_unique<parts>(*this, m_settings);
 }
 
@@ -77,11 +69,6 @@
     if (!m_closed)
         close();
     m_parts.reset();
-    uv_close(reinterpret_cast<uv_handle_t*>(&m_prepare), nullptr);
-    // Lets closed handles go. Handles that others have put on the loop are theirs to close before.
-    uv_run(&m_loop, UV_RUN_NOWAIT);
-    uv_run(&m_loop, UV_RUN_NOWAIT);
-    uv_loop_close(&m_loop);
 }
 
 absl::Status gateway_daemon::start()
@@ -102,21 +89,6 @@
     return absl::OkStatus();
 }
 
-void gateway_daemon::run()
-{
-    uv_run(&m_loop, UV_RUN_DEFAULT);
-    m_log.flush();
-}
-
-void gateway_daemon::post(coordination::gateway::event happened)
-{
-    m_queue.push_back(std::move(happened));
-    if (!std::exchange(m_handling, true)) {
-        handleQueued();
-        m_handling = false;
-    }
-}
-
 /// Carries out each kind of effect.
 struct gateway_daemon::executor {
     gateway_daemon& owner;
@@ -148,7 +120,7 @@
         if (owner.m_store.refresh)
             owner.m_store.refresh();
     }
-    void operator()(const coordination::log_event& line) const { owner.m_log.write(line); }
+    void operator()(const coordination::log_event& line) const { owner.m_process.log().write(line); }
     void operator()(const coordination::node_stopped& /*stopped*/) const
     {
         owner.m_stoppedAt = bootNow();
@@ -156,18 +128,12 @@
     }
 };
 
-void gateway_daemon::handleQueued()
+void gateway_daemon::handle(const coordination::gateway::event& happened)
 {
-    while (!m_queue.empty()) {
-        const auto happened = std::move(m_queue.front());
-        m_queue.pop_front();
-        coordination::gateway::handle(m_node, happened, bootNow(), m_random, m_effects);
-        auto effects = std::exchange(m_effects, {});
-        for (const auto& effect : effects)
-            std::visit(executor { *this }, effect);
-    }
-    applyChanges();
-    scheduleWakeUp();
+    coordination::gateway::handle(m_node, happened, bootNow(), m_random, m_effects);
+    const auto effects = std::exchange(m_effects, {});
+    for (const auto& effect : effects)
+        std::visit(executor { *this }, effect);
 }
 
 void gateway_daemon::applyChanges()
@@ -175,8 +141,12 @@
     if (m_node.config.get() != m_appliedConfig) {
         m_appliedConfig = m_node.config.get();
         const auto& limits = m_appliedConfig->limits;
-        m_parts->callers.setLimits(
-            { { limits.headerBytes, limits.bodyBytes }, limits.headerTimeout, limits.idleTimeout });
+        connection_limits applied;
+        applied.message.headBytes = limits.headerBytes;
+        applied.message.bodyBytes = limits.bodyBytes;
+        applied.headerTimeout = limits.headerTimeout;
+        applied.idleTimeout = limits.idleTimeout;
+        m_parts->callers.setLimits(applied);
     }
     if (m_node.phase >= coordination::gateway::node_phase::draining && !std::exchange(m_left, true))
         m_parts->callers.leave();
@@ -206,7 +176,7 @@
 void gateway_daemon::close()
 {
     m_closed = true;
-    m_log.write({ coordination::log_level::info, "stopped", { { "id", m_settings.node.id } } });
+    m_process.log().write({ coordination::log_level::info, "stopped", { { "id", m_settings.node.id } } });
     m_parts->callers.close();
     m_parts->servers.close();
     m_parts->health.close();
@@ -216,15 +186,15 @@
         m_store.close();
     if (m_closing)
         m_closing();
-    uv_stop(&m_loop);
+    m_process.stop();
 }
 
 service_answer gateway_daemon::answerOperator(const protocol::http::message& request)
 {
     const auto path = protocol::http::pathOf(request.target);
     if (path == "/metrics") {
-        const loop_gauges gauges { m_parts->servers.opened(), m_log.dropped(), m_store.calls ? m_store.calls() : 0,
-            m_parts->peers.refused() };
+        const loop_gauges gauges { m_parts->servers.opened(), m_process.log().dropped(),
+            m_store.calls ? m_store.calls() : 0, m_parts->peers.refused() };
         return { 200, "text/plain; version=0.0.4", writeGatewayMetrics(m_node, gauges, bootNow()) };
     }
     if (path == "/dump")
--- a/src/transport/loop/gateway_daemon.hpp
+++ b/src/transport/loop/gateway_daemon.hpp
@@ -3,17 +3,18 @@
 #include "coordination/gateway/node.hpp"
 #include "protocol/server_dialect.hpp"
 #include "transport/loop/caller_edge.hpp"
+#include "transport/loop/event_queue.hpp"
 #include "transport/loop/gateway_metrics.hpp"
 #include "transport/loop/http_service.hpp"
-#include "transport/loop/log_writer.hpp"
 #include "transport/loop/peer_edge.hpp"
+#include "transport/loop/process_loop.hpp"
 #include "transport/loop/server_links.hpp"
 #include "transport/loop/timer.hpp"
 
-#include <deque>
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 
 #include <absl/status/status.h>
 #include <uv.h>
@@ -52,18 +53,18 @@
     [[nodiscard]] absl::Status start();
 
     /// Runs until the node has stopped.
-    void run();
+    void run() { m_process.run(); }
 
     /// Hands an event to the node, now or after the one that is being handled.
-    void post(coordination::gateway::event happened);
+    void post(coordination::gateway::event happened) { m_queue.post(std::move(happened)); }
 
-    void log(const coordination::log_event& event) { m_log.write(event); }
+    void log(const coordination::log_event& event) { m_process.log().write(event); }
     void setStore(store_follower store) { m_store = std::move(store); }
     /// Called before the loop ends, for parts that hold handles of it.
     void setClosing(std::function<void()> closing) { m_closing = std::move(closing); }
     void setBounds(const coordination::gateway::fleet_bounds& bounds) { m_node.settings.bounds = bounds; }
 
-    [[nodiscard]] uv_loop_t* loop() noexcept { return &m_loop; }
+    [[nodiscard]] uv_loop_t* loop() noexcept { return m_process.handle(); }
     [[nodiscard]] const coordination::gateway::gateway_node& node() const noexcept { return m_node; }
     [[nodiscard]] int callersPort() const { return m_parts->callers.port(); }
     [[nodiscard]] int operatorsPort() const { return m_parts->operators.port(); }
@@ -82,7 +83,7 @@
         timer exit;
     };
 
-    void handleQueued();
+    void handle(const coordination::gateway::event& happened);
     void applyChanges();
     void scheduleWakeUp();
     void finishWhenQuiet();
@@ -90,19 +91,16 @@
     service_answer answerOperator(const protocol::http::message& request);
 
     gateway_settings m_settings;
-    uv_loop_t m_loop {};
-    uv_prepare_t m_prepare {};
     coordination::gateway::gateway_node m_node;
     coordination::random_generator m_random;
-    log_writer m_log;
-    std::deque<coordination::gateway::event> m_queue;
+    process_loop m_process;
+    event_queue<coordination::gateway::event> m_queue;
     coordination::gateway::effect_list m_effects;
     store_follower m_store;
     std::function<void()> m_closing;
     std::unique_ptr<parts> m_parts;
     std::optional<state::time_point> m_wakeUpAt;
     const state::gateway::configuration* m_appliedConfig = nullptr;
-    bool m_handling = false;
     bool m_left = false;
     bool m_closed = false;
     state::time_point m_stoppedAt;
--- /dev/null
+++ b/src/transport/loop/http_fetcher.cpp
@@ -0,0 +1,70 @@
+#include "transport/loop/http_fetcher.hpp"
+
+#include <utility>
+
+namespace acaciaslip::transport::loop {
+
+struct http_fetcher::exchange {
+    std::shared_ptr<http_link> link;
+    std::unique_ptr<timer> limit;
+    fetch_patience patience;
+    callback done;
+    bool isAnswering = false; ///< the limit is the answer's
+};
+
+http_fetcher::http_fetcher(uv_loop_t* loop, protocol::http::message_limits limits)
+    : m_loop(loop)
+    , m_limits(limits)
+{
+}
+
+void http_fetcher::fetch(const std::string& address, std::string request, const fetch_patience& patience, callback done)
+{
+    const auto to = parseAddress(address);
+    if (!to.ok())
+        return done(std::nullopt);
+    const auto number = m_nextNumber++;
+    link_callbacks callbacks;
+    callbacks.isAwaited = [](const protocol::http::message&) { return true; };
+    callbacks.answered = [this, number](protocol::http::message answer) { finish(number, std::move(answer)); };
+    callbacks.failed = [this, number](link_failure) { finish(number, std::nullopt); };
+    callbacks.idleClosed = [] {};
+    const auto made = std::make_shared<exchange>();
+    made->link = http_link::open(m_loop, *to, m_limits, std::move(callbacks));
+    made->limit = std::make_unique<timer>(m_loop, [this, number] { noteTimer(number); });
+    made->patience = patience;
+    made->done = std::move(done);
+    m_running[number] = made;
+    made->limit->start(patience.connect);
+    made->link->send(std::move(request), false);
+}
+
+void http_fetcher::noteTimer(std::uint64_t number)
+{
+    const auto found = m_running.find(number);
+    if (found == m_running.end())
+        return;
+    auto& late = *found->second;
+    if (!late.link->isConnected() || std::exchange(late.isAnswering, true))
+        return finish(number, std::nullopt);
+    late.limit->start(late.patience.answer);
+}
+
+void http_fetcher::finish(std::uint64_t number, std::optional<protocol::http::message> answer)
+{
+    const auto found = m_running.find(number);
+    if (found == m_running.end())
+        return;
+    const auto ended = std::move(found->second);
+    m_running.erase(found);
+    ended->link->close();
+    ended->done(std::move(answer));
+}
+
+void http_fetcher::close()
+{
+    for (const auto& [number, running] : std::exchange(m_running, {}))
+        running->link->close();
+}
+
+} // namespace acaciaslip::transport::loop
--- a/src/transport/loop/http_link.hpp
+++ b/src/transport/loop/http_link.hpp
@@ -15,13 +15,17 @@
 /// How an exchange over a link ended without an answer.
 enum class link_failure {
     not_connected, ///< no byte was written
-    cut, ///< the connection ended, or what came is no answer
+    cut, ///< the connection ended before the answer did
+    malformed, ///< what came is no answer
 };
 
 /// What a link tells its owner.
 struct link_callbacks {
     /// Whether an answer that has come whole is the awaited one. Any other is dropped and the link waits on.
     std::function<bool(const protocol::http::message&)> isAwaited;
+    /// Asked before the first byte of a request that had to wait for the connection; false: it is not written, and the
+    /// exchange fails as not connected. None: it is always written.
+    std::function<bool()> mayBegin;
     std::function<void(protocol::http::message)> answered; ///< the exchange is over; see `isIdle` for the link
     std::function<void(link_failure)> failed; ///< the exchange under way has no answer; the link is closed
     std::function<void()> idleClosed; ///< the link was idle and cannot be used any more
@@ -46,6 +50,9 @@
     [[nodiscard]] bool isIdle() const noexcept { return !m_busy && !m_closed; }
     [[nodiscard]] bool isConnected() const noexcept { return m_connected; }
 
+    /// Whether it is idle and nothing has come on it, the server's end included.
+    [[nodiscard]] bool isReusable() const { return isIdle() && !m_stream->hasUnread(); }
+
     /// How long the server keeps the idle connection, as its last answer said.
     [[nodiscard]] std::optional<state::duration> keptFor() const noexcept { return m_keptFor; }
 
--- a/src/transport/loop/http_service.cpp
+++ b/src/transport/loop/http_service.cpp
@@ -6,54 +6,34 @@
 
 namespace {
 
-constexpr connection_limits serviceLimits { { 16384, 1048576 }, std::chrono::seconds { 3 },
-    std::chrono::seconds { 60 } };
+connection_limits limitService()
+{
+    connection_limits limits;
+    limits.message.headBytes = 16384;
+    limits.message.bodyBytes = 1048576;
+    limits.idleTimeout = std::chrono::seconds { 60 };
+    return limits;
+}
 
 } // namespace
 
 http_service::http_service(uv_loop_t* loop, handler answer)
     : m_answer(std::move(answer))
-    , m_listener(loop, [this](uv_stream_t* listener) { accept(listener); })
-{
-}
-
-absl::Status http_service::listen(const std::string& address)
-{
-    return m_listener.listen(address);
-}
-
-void http_service::accept(uv_stream_t* listener)
+    , m_listener(loop,
+          { [this](auto id, const auto& from, const auto& request) { noteArrived(id, from, request); },
+              [](state::request_id) {}, {} })
 {
-    const auto holder = std::make_shared<std::weak_ptr<caller_connection>>();
-    caller_callbacks callbacks;
-    callbacks.number = [] { return state::request_id {}; };
-    callbacks.arrived = [this, holder](state::request_id id, const protocol::http::message& request) {
-        const auto connection = holder->lock();
-        if (!connection)
-            return;
-        const auto answer = m_answer(request);
-        connection->answer(id,
-            protocol::http::writeAnswer(answer.status, answer.contentType, answer.body, request.keepAlive),
-            !request.keepAlive);
-    };
-    callbacks.gone = [](state::request_id) {};
-    callbacks.closed = [this, holder] {
-        if (const auto connection = holder->lock())
-            m_connections.erase(connection);
-    };
-    const auto connection = caller_connection::accept(listener, serviceLimits, std::move(callbacks));
-    if (!connection)
-        return;
-    *holder = connection;
-    m_connections.insert(connection);
+    m_listener.setLimits(limitService());
 }
 
-void http_service::close()
+void http_service::noteArrived(
+    state::request_id id, const std::shared_ptr<caller_connection>& from, const protocol::http::message& request)
 {
-    m_listener.close();
-    const auto connections = m_connections;
-    for (const auto& connection : connections)
-        connection->close();
+    m_answer(request, [id, weak = std::weak_ptr(from), keepAlive = request.keepAlive](const service_answer& answer) {
+        if (const auto connection = weak.lock())
+            connection->answer(
+                id, protocol::http::writeAnswer(answer.status, answer.contentType, answer.body, keepAlive), !keepAlive);
+    });
 }
 
 } // namespace acaciaslip::transport::loop
--- a/src/transport/loop/http_service.hpp
+++ b/src/transport/loop/http_service.hpp
@@ -1,13 +1,10 @@
 #pragma once
 
 #include "protocol/http/message.hpp"
-#include "transport/loop/caller_connection.hpp"
-#include "transport/loop/tcp_listener.hpp"
+#include "transport/loop/caller_listener.hpp"
 
 #include <functional>
-#include <memory>
 #include <string>
-#include <unordered_set>
 
 namespace acaciaslip::transport::loop {
 
@@ -18,23 +15,25 @@
     std::string body;
 };
 
-/// A small HTTP server whose answers are ready at once: health, metrics, dumps, values for peers.
+/// A small HTTP server beside the callers' one: health, metrics, dumps, values for peers.
 class http_service {
 public:
-    using handler = std::function<service_answer(const protocol::http::message&)>;
+    /// Gives a request its answer, once, now or later; without effect once the connection has gone.
+    using reply = std::function<void(const service_answer&)>;
+    using handler = std::function<void(const protocol::http::message&, const reply&)>;
 
     http_service(uv_loop_t* loop, handler answer);
 
-    [[nodiscard]] absl::Status listen(const std::string& address);
+    [[nodiscard]] absl::Status listen(const std::string& address) { return m_listener.listen(address); }
     [[nodiscard]] int port() const { return m_listener.port(); }
-    void close();
+    void close() { m_listener.close(); }
 
 private:
-    void accept(uv_stream_t* listener);
+    void noteArrived(
+        state::request_id id, const std::shared_ptr<caller_connection>& from, const protocol::http::message& request);
 
     handler m_answer;
-    tcp_listener m_listener;
-    std::unordered_set<std::shared_ptr<caller_connection>> m_connections;
+    caller_listener m_listener;
 };
 
 } // namespace acaciaslip::transport::loop
--- a/src/transport/loop/log_writer.cpp
+++ b/src/transport/loop/log_writer.cpp
@@ -1,6 +1,6 @@
 #include "transport/loop/log_writer.hpp"
 
-#include "transport/logger.hpp"
+#include "transport/log_line.hpp"
 #include "transport/loop/boot_clock.hpp"
 
 #include <cerrno>
--- /dev/null
+++ b/src/transport/loop/node_caller_edge.cpp
@@ -0,0 +1,118 @@
+#include "transport/loop/node_caller_edge.hpp"
+
+#include "transport/loop/boot_clock.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include <sys/resource.h>
+
+namespace acaciaslip::transport::loop {
+
+namespace {
+
+constexpr state::duration stopPoll = std::chrono::milliseconds { 10 };
+constexpr int statusUnavailable = 503;
+
+std::size_t limitByDescriptors(std::size_t wanted)
+{
+    rlimit descriptors {};
+    if (getrlimit(RLIMIT_NOFILE, &descriptors) != 0 || descriptors.rlim_cur == RLIM_INFINITY)
+        return wanted;
+    return std::min(wanted, static_cast<std::size_t>(descriptors.rlim_cur / 2));
+}
+
+} // namespace
+
+node_caller_edge::node_caller_edge(uv_loop_t* loop, const edge_limits& limits, event_sink events)
+    : m_limits(limits)
+    , m_events(std::move(events))
+    , m_listener(loop,
+          { [this](auto id, const auto& from, auto request) { noteArrived(id, from, std::move(request)); },
+              [this](state::request_id id) {
+                  if (m_waiting.erase(id) > 0)
+                      m_events(coordination::caller_gone { id });
+              },
+              [](int status, std::string_view reason) { return protocol::writeEdgeRefusal(status, reason, false); } })
+    , m_stopPoll(loop, [this] { continueStop(); })
+{
+    connection_limits each { limits.message, limits.request, limits.idle, limits.request, true };
+    m_listener.setLimits(each);
+    m_listener.setMostConnections(limitByDescriptors(limits.connections));
+}
+
+void node_caller_edge::noteArrived(
+    state::request_id id, const std::shared_ptr<caller_connection>& from, protocol::http::message request)
+{
+    const protocol::answer_form form { request.method == "HEAD", request.keepAlive };
+    if (const auto fault = protocol::findFault(request))
+        return from->answer(id, protocol::writeEdgeRefusal(fault->status, fault->reason, form.toHead), true);
+    m_waiting[id] = { from, form };
+    m_events(protocol::describeRequest(id, std::move(request)));
+}
+
+void node_caller_edge::answer(const coordination::answer_caller& wanted)
+{
+    finish(
+        wanted.id, [&](const auto& form) { return protocol::writeCallerAnswer(wanted, form); }, wanted.closeConnection);
+}
+
+void node_caller_edge::refuse(const coordination::refuse_caller& wanted)
+{
+    finish(
+        wanted.id, [&](const auto& form) { return protocol::writeRefusal(wanted, form); }, wanted.closeConnection);
+}
+
+void node_caller_edge::finish(
+    state::request_id id, const std::function<std::string(const protocol::answer_form&)>& write, bool close)
+{
+    const auto found = m_waiting.find(id);
+    if (found == m_waiting.end())
+        return;
+    auto [weak, form] = std::move(found->second);
+    m_waiting.erase(found);
+    form.keepAlive &= !close && m_stage == stop_stage::none;
+    if (const auto connection = weak.lock())
+        connection->answer(id, write(form), !form.keepAlive);
+}
+
+void node_caller_edge::stop(std::function<void()> stopped)
+{
+    m_stopped = std::move(stopped);
+    m_stage = stop_stage::listening;
+    m_stageSince = m_quietSince = bootNow();
+    m_seen = m_listener.accepted();
+    continueStop();
+}
+
+void node_caller_edge::continueStop()
+{
+    const auto now = bootNow();
+    if (m_stage == stop_stage::listening) {
+        if (std::exchange(m_seen, m_listener.accepted()) != m_listener.accepted())
+            m_quietSince = now;
+        // One that came to the listener's queue just before it closes would be reset.
+        if (now - m_quietSince >= m_limits.quiet || now - m_stageSince >= m_limits.listen) {
+            m_stage = stop_stage::refusing;
+            m_stageSince = now;
+            m_listener.stopListening();
+            m_listener.forEach(
+                [](caller_connection& connection) { connection.refusePartial(statusUnavailable, "leaving"); });
+        }
+        m_listener.forEach([this](caller_connection& connection) { connection.leave(m_limits.quiet); });
+    }
+    const bool over
+        = m_stage == stop_stage::refusing && (m_listener.openConnections() == 0 || now - m_stageSince >= m_limits.stop);
+    if (!over)
+        return m_stopPoll.start(stopPoll);
+    close();
+    std::exchange(m_stopped, nullptr)();
+}
+
+void node_caller_edge::close()
+{
+    m_stopPoll.stop();
+    m_listener.close();
+}
+
+} // namespace acaciaslip::transport::loop
--- /dev/null
+++ b/src/transport/loop/node_daemon.cpp
@@ -0,0 +1,222 @@
+#include "transport/loop/node_daemon.hpp"
+
+#include "protocol/peer_codec.hpp"
+#include "protocol/server_reports.hpp"
+#include "transport/loop/attempt_links.hpp"
+#include "transport/loop/boot_clock.hpp"
+#include "transport/loop/http_fetcher.hpp"
+#include "transport/loop/node_caller_edge.hpp"
+#include "transport/loop/node_operators.hpp"
+#include "transport/loop/udp_socket.hpp"
+#include "transport/loop/value_edge.hpp"
+
+#include <utility>
+
+#include <fmt/format.h>
+
+namespace acaciaslip::transport::loop {
+
+namespace {
+
+constexpr state::duration tickInterval = std::chrono::milliseconds { 10 }; ///< how late a due decision may come
+constexpr fetch_patience probePatience { std::chrono::milliseconds { 500 }, std::chrono::milliseconds { 500 } };
+constexpr state::duration platformConnect = std::chrono::milliseconds { 500 }; ///< then the next address is tried
+constexpr state::duration platformMargin = std::chrono::milliseconds { 1000 }; ///< beyond the wait that was asked for
+constexpr protocol::http::message_limits fetchLimits { 65536, 16ULL * 1024 * 1024 };
+constexpr int statusOk = 200;
+constexpr int statusNotModified = 304;
+constexpr int statusNotFound = 404;
+
+edge_limits limitCallers(const state::node_settings& settings)
+{
+    edge_limits limits;
+    limits.message.bodyBytes = settings.maxBodyBytes;
+    return limits;
+}
+
+coordination::log_level lowestLevel(const state::node_settings& settings)
+{
+    return state::findValue<coordination::log_level>(coordination::logLevelNames, settings.logLevel)
+        .value_or(coordination::log_level::info);
+}
+
+} // namespace
+
+struct node_daemon::parts {
+    explicit parts(node_daemon& owner)
+        : callers(owner.loop(), limitCallers(owner.m_settings), [&owner](auto event) { owner.post(std::move(event)); })
+        , attempts(owner.loop(), fmt::format("{}.{}", owner.m_settings.id, owner.m_incarnation),
+              limitCallers(owner.m_settings).message, [&owner](auto event) { owner.post(std::move(event)); })
+        , operators(owner.m_process, owner.m_node, [&owner] { owner.drain(); })
+        , fetches(owner.loop(), fetchLimits)
+        , values(owner.loop(), [&owner](auto event) { owner.post(std::move(event)); })
+        , peers(owner.loop(),
+              [&owner](const std::string& from, std::string_view datagram) {
+                  auto message = protocol::decodeDatagram(datagram);
+                  if (message.ok())
+                      owner.post(coordination::peer_message_received { from, *std::move(message) });
+                  else
+                      owner.post(coordination::datagram_refused { static_cast<std::uint32_t>(datagram.size()) });
+              })
+        , ticks(owner.loop(), [&owner] { owner.tick(); })
+    {
+    }
+
+    node_caller_edge callers;
+    attempt_links attempts;
+    node_operators operators;
+    http_fetcher fetches;
+    value_edge values;
+    udp_socket peers;
+    timer ticks;
+};
+
+/// Carries out each kind of effect.
+struct node_daemon::executor {
+    node_daemon& owner;
+
+    void operator()(const coordination::send_attempt& wanted) const { owner.m_parts->attempts.send(wanted); }
+    void operator()(const coordination::cancel_attempt& wanted) const { owner.m_parts->attempts.cancel(wanted.id); }
+    void operator()(const coordination::answer_caller& wanted) const { owner.m_parts->callers.answer(wanted); }
+    void operator()(const coordination::refuse_caller& wanted) const { owner.m_parts->callers.refuse(wanted); }
+    void operator()(const coordination::probe_server& wanted) const { owner.probe(wanted); }
+    void operator()(const coordination::tell_peer& wanted) const
+    {
+        // Later datagrams make up for one that cannot be sent.
+        if (const auto bytes = protocol::encodeDatagram(wanted.message); bytes.ok())
+            owner.m_parts->peers.send(wanted.address, *bytes);
+    }
+    void operator()(const coordination::fetch_value& wanted) const { owner.fetch(wanted); }
+    void operator()(const coordination::serve_value& served) const { owner.m_parts->values.serve(served); }
+    void operator()(const coordination::log_event& line) const { owner.log(line); }
+    void operator()(const coordination::node_stopped& /*stopped*/) const
+    {
+        owner.m_parts->callers.stop([&daemon = owner] { daemon.close(); });
+    }
+};
+
+node_daemon::node_daemon(const state::node_settings& settings)
+    : m_settings(settings)
+    , m_incarnation(static_cast<std::uint64_t>(unixNow().count()))
+    , m_node(
+          coordination::makeNode(settings, m_incarnation, [this](const auto& bodies) { return m_values.read(bodies); }))
+    , m_random(makeSeed())
+    , m_process(lowestLevel(settings))
+    , m_queue([this](const auto& happened) { handle(happened); }, [] {})
+    , m_parts(std::make_unique<parts>(*this))
+{
+}
+
+node_daemon::~node_daemon()
+{
+    if (!m_closed)
+        close();
+    m_parts.reset();
+}
+
+absl::Status node_daemon::start()
+{
+    if (auto status = m_parts->peers.bind(m_settings.peers); !status.ok())
+        return status;
+    if (auto status = m_parts->values.listen(m_settings.peers); !status.ok())
+        return status;
+    if (auto status = m_parts->operators.listen(m_settings.operators); !status.ok())
+        return status;
+    if (auto status = m_parts->callers.listen(m_settings.callers); !status.ok())
+        return status;
+    m_parts->ticks.start(tickInterval);
+    return absl::OkStatus();
+}
+
+void node_daemon::handle(const coordination::event& happened)
+{
+    coordination::handle(m_node, happened, bootNow(), m_random, m_effects);
+    const auto effects = std::exchange(m_effects, {});
+    for (const auto& effect : effects)
+        std::visit(executor { *this }, effect);
+}
+
+void node_daemon::tick()
+{
+    m_parts->ticks.start(tickInterval);
+    post(coordination::tick {});
+}
+
+void node_daemon::probe(const coordination::probe_server& wanted)
+{
+    const bool health = wanted.kind == coordination::probe_kind::health;
+    const auto request = fmt::format("GET /acaciaslip/{} HTTP/1.1\r\nHost: {}\r\nConnection: close\r\n\r\n",
+        state::findName(coordination::probeKindNames, wanted.kind), wanted.address);
+    m_parts->fetches.fetch(
+        wanted.address, request, probePatience, [this, health, server = wanted.server](const auto& answer) {
+            coordination::probe_finished finished { server, false, {}, {} };
+            if (answer && answer->status == statusOk) {
+                if (health)
+                    finished.health = protocol::readHealth(answer->body);
+                else
+                    finished.load = protocol::readLoad(answer->body);
+                finished.answered = finished.health.has_value() || finished.load.has_value();
+            }
+            post(std::move(finished));
+        });
+}
+
+void node_daemon::fetch(const coordination::fetch_value& wanted)
+{
+    if (wanted.source == state::value_source::platform)
+        return fetchFromPlatform(wanted);
+    m_parts->values.fetch(wanted, [this, wanted](auto received) { takeValue(wanted, std::move(received)); });
+}
+
+void node_daemon::fetchFromPlatform(const coordination::fetch_value& wanted)
+{
+    const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(wanted.wait);
+    const auto request = fmt::format("GET /v1/values/{}?after={}&wait_ms={} HTTP/1.1\r\nHost: {}\r\n"
+                                     "Connection: close\r\n\r\n",
+        wanted.key, wanted.after, wait.count(), wanted.address);
+    m_parts->fetches.fetch(
+        wanted.address, request, { platformConnect, wanted.wait + platformMargin }, [this, wanted](const auto& answer) {
+            std::optional<coordination::value_received> received;
+            if (answer && answer->status == statusOk) {
+                const auto text = protocol::http::findHeader(*answer, "Revision").value_or("");
+                if (const auto number = protocol::http::readNumber(text))
+                    received = { wanted.key, *number, answer->body, wanted.source, wanted.address, wanted.askedAt };
+            } else if (answer && (answer->status == statusNotModified || answer->status == statusNotFound)) {
+                received = { wanted.key, 0, {}, wanted.source, wanted.address, wanted.askedAt };
+            }
+            takeValue(wanted, std::move(received));
+        });
+}
+
+void node_daemon::takeValue(
+    const coordination::fetch_value& wanted, std::optional<coordination::value_received> received)
+{
+    if (!received)
+        return post(coordination::value_read_failed { wanted.key, wanted.source, wanted.address, wanted.askedAt });
+    if (received->number == 0)
+        return post(*std::move(received));
+    // A large value takes tens of milliseconds to read; the node then finds it read.
+    const auto value = std::make_shared<coordination::value_received>(*std::move(received));
+    m_process.runBeside([this, value] { m_values.prepare(value->key, value->body); },
+        [this, value] {
+            if (!m_closed)
+                post(std::move(*value));
+        });
+}
+
+void node_daemon::close()
+{
+    m_closed = true;
+    m_parts->ticks.stop();
+    m_parts->callers.close();
+    m_parts->attempts.close();
+    m_parts->operators.close();
+    m_parts->fetches.close();
+    m_parts->values.close();
+    m_parts->peers.close();
+    if (m_closing)
+        m_closing();
+    m_process.stop();
+}
+
+} // namespace acaciaslip::transport::loop
--- a/src/transport/loop/peer_edge.cpp
+++ b/src/transport/loop/peer_edge.cpp
@@ -20,19 +20,18 @@
 } // namespace
 
 peer_edge::peer_edge(uv_loop_t* loop, int datagramPort, int fetchPort, event_sink sink)
-    : m_loop(loop)
-    , m_datagramPort(datagramPort)
+    : m_datagramPort(datagramPort)
     , m_fetchPort(fetchPort)
     , m_sink(std::move(sink))
     , m_socket(loop,
           [this](const std::string& from, std::string_view datagram) {
               auto heartbeat = protocol::decodeHeartbeat(datagram);
               if (heartbeat.ok())
-                  m_sink(coordination::gateway::peer_heard { from, *std::move(heartbeat) });
+                  m_sink(coordination::gateway::peer_heard { from.substr(0, from.rfind(':')), *std::move(heartbeat) });
               else
                   ++m_refused;
           })
-    , m_patience(loop, [this] { endFetch(); })
+    , m_fetcher(loop, fetchLimits)
 {
 }
 
@@ -59,22 +58,16 @@
 
 void peer_edge::fetch(const coordination::gateway::fetch_fleet& wanted)
 {
-    if (m_fetch)
-        m_fetch->close();
+    m_fetcher.close();
     const auto address = fmt::format("{}:{}", wanted.ip, m_fetchPort);
-    const auto to = parseAddress(address);
-    if (!to.ok())
-        return endFetch();
-    link_callbacks callbacks;
-    callbacks.isAwaited = [](const protocol::http::message&) { return true; };
-    callbacks.answered = [this](const protocol::http::message& answer) { takeFetched(answer); };
-    callbacks.failed = [this](link_failure) { endFetch(); };
-    callbacks.idleClosed = [] {};
-    m_fetch = http_link::open(m_loop, *to, fetchLimits, std::move(callbacks));
-    m_patience.start(wanted.patience);
-    m_fetch->send(fmt::format("GET {}?after={} HTTP/1.1\r\nHost: {}\r\nConnection: close\r\n\r\n", fetchPath,
-                      wanted.after, address),
-        false);
+    m_fetcher.fetch(address,
+        fmt::format(
+            "GET {}?after={} HTTP/1.1\r\nHost: {}\r\nConnection: close\r\n\r\n", fetchPath, wanted.after, address),
+        { wanted.patience, state::duration::zero() }, [this](const auto& answer) {
+            if (answer)
+                takeFetched(*answer);
+            m_sink(coordination::gateway::fetch_ended {});
+        });
 }
 
 void peer_edge::takeFetched(const protocol::http::message& answer)
@@ -87,16 +80,6 @@
         else
             ++m_refused;
     }
-    endFetch();
-}
-
-void peer_edge::endFetch()
-{
-    m_patience.stop();
-    if (m_fetch)
-        m_fetch->close();
-    m_fetch.reset();
-    m_sink(coordination::gateway::fetch_ended {});
 }
 
 std::optional<service_answer> peer_edge::answerFetch(
@@ -115,9 +98,7 @@
 
 void peer_edge::close()
 {
-    m_patience.stop();
-    if (m_fetch)
-        m_fetch->close();
+    m_fetcher.close();
     m_socket.close();
 }
 
--- a/src/transport/loop/peer_edge.hpp
+++ b/src/transport/loop/peer_edge.hpp
@@ -3,13 +3,11 @@
 #include "coordination/gateway/effects.hpp"
 #include "coordination/gateway/events.hpp"
 #include "protocol/http/message.hpp"
-#include "transport/loop/http_link.hpp"
+#include "transport/loop/http_fetcher.hpp"
 #include "transport/loop/http_service.hpp"
-#include "transport/loop/timer.hpp"
 #include "transport/loop/udp_socket.hpp"
 
 #include <functional>
-#include <memory>
 #include <optional>
 #include <string>
 
@@ -39,16 +37,13 @@
     void close();
 
 private:
-    void endFetch();
     void takeFetched(const protocol::http::message& answer);
 
-    uv_loop_t* m_loop;
     int m_datagramPort;
     int m_fetchPort;
     event_sink m_sink;
     udp_socket m_socket;
-    std::shared_ptr<http_link> m_fetch;
-    timer m_patience;
+    http_fetcher m_fetcher;
     std::uint64_t m_refused = 0;
 };
 
--- a/src/transport/loop/server_links.cpp
+++ b/src/transport/loop/server_links.cpp
@@ -249,7 +249,7 @@
 
 void server_links::noteFailure(const link_pointer& link, link_failure reason)
 {
-    if (!link->ask || reason != link_failure::cut || !askAnew(link))
+    if (!link->ask || reason == link_failure::not_connected || !askAnew(link))
         endExchange(link, reason);
 }
 
--- a/src/transport/loop/tcp_stream.cpp
+++ b/src/transport/loop/tcp_stream.cpp
@@ -1,6 +1,7 @@
 #include "transport/loop/tcp_stream.hpp"
 
 #include <array>
+#include <cerrno>
 #include <utility>
 
 #include <fmt/format.h>
@@ -64,6 +65,13 @@
     return address;
 }
 
+std::string formatAddress(const sockaddr_in& address)
+{
+    std::array<char, INET_ADDRSTRLEN> ip {};
+    uv_ip4_name(&address, ip.data(), ip.size());
+    return fmt::format("{}:{}", ip.data(), ntohs(address.sin_port));
+}
+
 tcp_stream::tcp_stream(uv_loop_t* loop, stream_callbacks callbacks)
     : m_handle(new uv_tcp_t {})
     , m_callbacks(std::move(callbacks))
@@ -110,12 +118,32 @@
     return made;
 }
 
+int tcp_stream::descriptor() const
+{
+    uv_os_fd_t socket = -1;
+    (void)uv_fileno(reinterpret_cast<const uv_handle_t*>(m_handle), &socket); // leaves -1, which no call takes
+    return socket;
+}
+
+bool tcp_stream::isReset() const
+{
+    tcp_info info {};
+    socklen_t size = sizeof info;
+    return m_closed || ::getsockopt(descriptor(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0
+        || info.tcpi_state == TCP_CLOSE;
+}
+
+bool tcp_stream::hasUnread() const
+{
+    char byte = 0;
+    const auto got = m_closed ? 0 : ::recv(descriptor(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return got >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 void tcp_stream::setOptions()
 {
     uv_tcp_nodelay(m_handle, 1);
-    uv_os_fd_t socket = -1;
-    if (uv_fileno(reinterpret_cast<uv_handle_t*>(m_handle), &socket) != 0)
-        return;
+    const int socket = descriptor();
     setOption(socket, SOL_SOCKET, SO_KEEPALIVE, 1);
     setOption(socket, IPPROTO_TCP, TCP_KEEPIDLE, probeIdleSeconds);
     setOption(socket, IPPROTO_TCP, TCP_KEEPINTVL, probeIntervalSeconds);
@@ -192,10 +220,14 @@
         m_callbacks.drained();
 }
 
-void tcp_stream::closeWhenWritten()
+void tcp_stream::closeWhenWritten(std::function<void()> closed)
 {
-    if (m_closed)
+    if (m_closed) {
+        if (closed)
+            closed();
         return;
+    }
+    m_onClosed = std::move(closed);
     m_ending = true;
     if (m_unwritten == 0)
         end();
@@ -231,6 +263,8 @@
         delete self;
         delete reinterpret_cast<uv_tcp_t*>(closed);
     });
+    if (const auto closed = std::exchange(m_onClosed, nullptr))
+        closed();
 }
 
 void tcp_stream::fail(int problem)
--- a/src/transport/loop/tcp_stream.hpp
+++ b/src/transport/loop/tcp_stream.hpp
@@ -19,6 +19,9 @@
 /// \return the address, or why it cannot be read
 [[nodiscard]] absl::StatusOr<sockaddr_in> parseAddress(const std::string& text);
 
+/// Writes "ip:port".
+[[nodiscard]] std::string formatAddress(const sockaddr_in& address);
+
 /// What a stream tells its owner. None of them is called after `tcp_stream::close`.
 struct stream_callbacks {
     std::function<void()> connected; ///< of a stream that was made by `connect`
@@ -51,12 +54,19 @@
     void write(std::string bytes);
 
     /// Sends an end after everything written and closes when the other side has done so too. No callback is called
-    /// any more.
-    void closeWhenWritten();
+    /// any more but the one given here.
+    /// \param closed called once the connection is closed
+    void closeWhenWritten(std::function<void()> closed = {});
 
     /// Closes at once; bytes that are not out yet may be lost.
     void close();
 
+    /// Whether the other side has reset the connection; tells so also after its end, when nothing is read any more.
+    [[nodiscard]] bool isReset() const;
+
+    /// Whether something waits to be read: bytes, the other side's end or a reset.
+    [[nodiscard]] bool hasUnread() const;
+
     [[nodiscard]] bool isClosed() const noexcept { return m_closed; }
     [[nodiscard]] std::size_t unwritten() const noexcept { return m_unwritten; } ///< bytes not yet with the system
 
@@ -66,6 +76,7 @@
     struct write_request;
     void fail(int problem);
     void noteWritten(std::size_t bytes, int status);
+    [[nodiscard]] int descriptor() const;
     void setOptions();
     void end();
 
@@ -75,6 +86,7 @@
     bool m_closed = false;
     bool m_ending = false; ///< closes once everything is written
     std::unique_ptr<timer> m_linger;
+    std::function<void()> m_onClosed;
 };
 
 } // namespace acaciaslip::transport::loop
--- a/src/transport/loop/udp_socket.cpp
+++ b/src/transport/loop/udp_socket.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-constexpr std::size_t datagramBytes = 2048; ///< more than any datagram of ours
+constexpr std::size_t datagramBytes = 2048; ///< more than any datagram of ours; a larger one comes cut
 
 std::array<char, datagramBytes>& sharedDatagramBuffer()
 {
@@ -52,9 +52,8 @@
                 auto* const self = static_cast<udp_socket*>(handle->data);
                 if (count <= 0 || from == nullptr || self == nullptr)
                     return;
-                std::array<char, INET_ADDRSTRLEN> ip {};
-                uv_ip4_name(reinterpret_cast<const sockaddr_in*>(from), ip.data(), ip.size());
-                self->m_received(ip.data(), { buffer->base, static_cast<std::size_t>(count) });
+                self->m_received(formatAddress(*reinterpret_cast<const sockaddr_in*>(from)),
+                    { buffer->base, static_cast<std::size_t>(count) });
             });
     if (status != 0)
         return absl::UnavailableError(fmt::format(
--- a/src/transport/loop/udp_socket.hpp
+++ b/src/transport/loop/udp_socket.hpp
@@ -12,7 +12,7 @@
 /// One UDP socket of a loop.
 class udp_socket {
 public:
-    /// \param received called with the sender's address, without port, and the datagram
+    /// \param received called with the sender's "ip:port" and the datagram
     udp_socket(uv_loop_t* loop, std::function<void(const std::string&, std::string_view)> received);
     ~udp_socket();
     udp_socket(const udp_socket&) = delete;
--- /dev/null
+++ b/src/transport/loop/value_edge.cpp
@@ -0,0 +1,171 @@
+#include "transport/loop/value_edge.hpp"
+
+#include "protocol/frame.hpp"
+#include "protocol/peer_codec.hpp"
+#include "transport/loop/timer.hpp"
+
+#include <utility>
+
+namespace acaciaslip::transport::loop {
+
+namespace {
+
+constexpr std::size_t mostServed = 64; ///< nodes that read at a time: more than ask one node for a change
+constexpr state::duration serveLimit = std::chrono::seconds { 2 }; ///< for a whole exchange, slow or not
+constexpr state::duration fetchLimit = std::chrono::milliseconds { 2500 }; ///< connecting included
+
+} // namespace
+
+/// One exchange with another node, in either direction.
+struct value_edge::peer_connection {
+    std::shared_ptr<tcp_stream> stream;
+    protocol::frame_reader frames;
+    std::unique_ptr<timer> limit;
+    std::optional<coordination::fetch_value> wanted; ///< of a fetch; nothing: the other node asks
+    callback done;
+    state::value_key key; ///< that the other node asked for
+    std::string unsent; ///< until the connection is up
+};
+
+value_edge::value_edge(uv_loop_t* loop, event_sink events)
+    : m_loop(loop)
+    , m_events(std::move(events))
+    , m_listener(loop, [this](uv_stream_t* listener) { accept(listener); })
+{
+}
+
+value_edge::~value_edge()
+{
+    close();
+}
+
+std::shared_ptr<value_edge::peer_connection> value_edge::addConnection(std::uint64_t token, std::size_t frameLimit)
+{
+    auto made = std::make_shared<peer_connection>(
+        peer_connection { nullptr, protocol::frame_reader(frameLimit), nullptr, {}, {}, {}, {} });
+    made->limit = std::make_unique<timer>(m_loop, [this, token] { end(token); });
+    m_connections[token] = made;
+    return made;
+}
+
+void value_edge::accept(uv_stream_t* listener)
+{
+    const auto token = m_nextToken++;
+    const auto made = addConnection(token, protocol::maxRequestFrameBytes);
+    ++m_served;
+    stream_callbacks callbacks;
+    callbacks.received = [this, token](std::string_view bytes) { noteReceived(token, bytes); };
+    callbacks.ended = [] {}; // a node may have ended its side behind its request
+    callbacks.failed = [this, token](int) { end(token); };
+    made->stream = tcp_stream::accept(listener, std::move(callbacks));
+    if (!made->stream || m_served > mostServed)
+        return end(token);
+    made->limit->start(serveLimit);
+    made->stream->startReading();
+}
+
+void value_edge::noteReceived(std::uint64_t token, std::string_view bytes)
+{
+    const auto found = m_connections.find(token);
+    if (found == m_connections.end())
+        return;
+    const auto connection = found->second;
+    const auto frame = connection->frames.take(bytes);
+    if (!frame)
+        return;
+    if (!frame->ok())
+        return end(token);
+    if (connection->wanted)
+        finishFetch(token, **frame);
+    else
+        answerRequest(token, **frame);
+}
+
+void value_edge::answerRequest(std::uint64_t token, const std::string& frame)
+{
+    auto request = protocol::decodeValueRequest(frame);
+    if (!request.ok())
+        return end(token);
+    m_connections[token]->stream->stopReading();
+    m_connections[token]->key = request->key;
+    m_events(coordination::value_requested { token, std::move(request->key), request->after });
+}
+
+void value_edge::serve(const coordination::serve_value& served)
+{
+    const auto found = m_connections.find(served.token);
+    if (found == m_connections.end())
+        return;
+    const auto answer = protocol::encodeValueAnswer({ found->second->key, served.number, served.body });
+    if (!answer.ok())
+        return end(served.token);
+    found->second->stream->write(protocol::writeFrame(*answer));
+    found->second->stream->closeWhenWritten([this, token = served.token] { end(token); });
+}
+
+void value_edge::fetch(const coordination::fetch_value& wanted, callback done)
+{
+    const auto to = parseAddress(wanted.address);
+    const auto request = protocol::encodeValueRequest({ wanted.key, wanted.after });
+    if (!to.ok() || !request.ok())
+        return done(std::nullopt);
+    const auto token = m_nextToken++;
+    const auto made = addConnection(token, protocol::maxAnswerFrameBytes);
+    made->wanted = wanted;
+    made->done = std::move(done);
+    made->unsent = protocol::writeFrame(*request);
+    stream_callbacks callbacks;
+    callbacks.connected = [weak = std::weak_ptr(made)] {
+        if (const auto connection = weak.lock()) {
+            connection->stream->startReading();
+            connection->stream->write(std::move(connection->unsent));
+        }
+    };
+    callbacks.received = [this, token](std::string_view bytes) { noteReceived(token, bytes); };
+    callbacks.ended = [this, token] { end(token); };
+    callbacks.failed = [this, token](int) { end(token); };
+    made->limit->start(fetchLimit);
+    made->stream = tcp_stream::connect(m_loop, *to, std::move(callbacks));
+}
+
+void value_edge::finishFetch(std::uint64_t token, const std::optional<std::string>& frame)
+{
+    const auto connection = m_connections[token];
+    const auto& wanted = *connection->wanted;
+    std::optional<coordination::value_received> received;
+    auto answer = frame ? protocol::decodeValueAnswer(*frame) : absl::UnavailableError("no answer");
+    if (answer.ok() && answer->key == wanted.key)
+        received = coordination::value_received { wanted.key, answer->number, std::move(answer->body), wanted.source,
+            wanted.address, wanted.askedAt };
+    m_connections.erase(token);
+    connection->stream->close();
+    connection->done(std::move(received));
+}
+
+/// Ends an exchange; a fetch that is not over has failed.
+void value_edge::end(std::uint64_t token)
+{
+    const auto found = m_connections.find(token);
+    if (found == m_connections.end())
+        return;
+    if (found->second->wanted)
+        return finishFetch(token, std::nullopt);
+    const auto connection = std::move(found->second);
+    m_connections.erase(found);
+    --m_served;
+    if (connection->stream)
+        connection->stream->close();
+}
+
+void value_edge::close()
+{
+    m_listener.close();
+    for (const auto& [token, connection] : std::exchange(m_connections, {})) {
+        connection->limit->stop();
+        if (connection->stream)
+            connection->stream->close();
+    }
+    m_served = 0;
+}
+
+} // namespace acaciaslip::transport::loop
--- /dev/null
+++ b/src/transport/loop/value_edge.hpp
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "coordination/effects.hpp"
+#include "coordination/events.hpp"
+#include "transport/loop/tcp_listener.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <absl/container/flat_hash_map.h>
+
+namespace acaciaslip::transport::loop {
+
+/// Published values between nodes over TCP: one request a connection, in frames.
+class value_edge {
+public:
+    using event_sink = std::function<void(coordination::event)>;
+    /// Given what a peer has, or nothing when it did not answer in time.
+    using callback = std::function<void(std::optional<coordination::value_received>)>;
+
+    value_edge(uv_loop_t* loop, event_sink events);
+    ~value_edge();
+    value_edge(const value_edge&) = delete;
+    value_edge& operator=(const value_edge&) = delete;
+
+    /// \param address "ip:port" that other nodes reach
+    [[nodiscard]] absl::Status listen(const std::string& address) { return m_listener.listen(address); }
+
+    /// Answers a node that waits for a value.
+    void serve(const coordination::serve_value& served);
+
+    /// Reads a value from another node.
+    void fetch(const coordination::fetch_value& wanted, callback done);
+
+    /// Closes everything; nothing is called back any more.
+    void close();
+
+private:
+    struct peer_connection;
+
+    void accept(uv_stream_t* listener);
+    void answerRequest(std::uint64_t token, const std::string& frame);
+    void finishFetch(std::uint64_t token, const std::optional<std::string>& frame);
+    void noteReceived(std::uint64_t token, std::string_view bytes);
+    void end(std::uint64_t token);
+    [[nodiscard]] std::shared_ptr<peer_connection> addConnection(std::uint64_t token, std::size_t frameLimit);
+
+    uv_loop_t* m_loop;
+    event_sink m_events;
+    tcp_listener m_listener;
+    std::uint64_t m_nextToken = 1;
+    absl::flat_hash_map<std::uint64_t, std::shared_ptr<peer_connection>> m_connections; ///< of both directions
+    std::size_t m_served = 0; ///< connections of other nodes that are open
+};
+
+} // namespace acaciaslip::transport::loop
--- a/src/transport/metrics.cpp
+++ b/src/transport/metrics.cpp
@@ -160,8 +160,8 @@
     addServers(families, snapshot);
     addValues(families, snapshot);
     addPeers(families, snapshot);
-    families.push_back(makeGauge("acaciaslip_events_waiting", "Events in the ring in front of the decision thread",
-        static_cast<double>(gauges.eventsWaiting)));
+    families.push_back(makeCounter(
+        "acaciaslip_log_lines_dropped_total", "Log lines that nobody read in time", gauges.logLinesDropped));
     return families;
 }
 
--- a/src/transport/metrics.hpp
+++ b/src/transport/metrics.hpp
@@ -2,6 +2,7 @@
 
 #include "protocol/node_snapshot.hpp"
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -11,7 +12,7 @@
 
 /// What is measured around the node, outside its decisions.
 struct process_gauges {
-    std::size_t eventsWaiting = 0; ///< in the ring in front of the decision thread
+    std::uint64_t logLinesDropped = 0; ///< since the start
 };
 
 /// Makes the families of metrics that a snapshot gives.
--- a/standins/server.cpp
+++ b/standins/server.cpp
@@ -127,6 +127,17 @@
     });
 }
 
+/// The library asks for room for five connections that are not yet accepted. Beyond it the kernel ignores the end of a
+/// handshake, and what is sent on such a connection waits for a second.
+class deep_backlog_server final : public httplib::Server {
+public:
+    bool listenDeep(const std::string& ip, int port)
+    {
+        constexpr int backlog = 1024;
+        return bind_to_port(ip, port) && ::listen(svr_sock_, backlog) == 0 && listen_after_bind();
+    }
+};
+
 } // namespace
 
 int runServer(int argc, const char** argv)
@@ -153,7 +164,7 @@
     std::string ip;
     const int port = splitAddress(listen, ip);
     constexpr std::size_t connections = 256;
-    httplib::Server edge;
+    deep_backlog_server edge;
     edge.new_task_queue = [] { return new httplib::ThreadPool(connections); };
     edge.set_tcp_nodelay(true);
     edge.set_keep_alive_max_count(std::numeric_limits<std::size_t>::max());
@@ -167,7 +178,7 @@
     edge.Patch(".*", handler);
     edge.Delete(".*", handler);
     edge.Options(".*", handler);
-    return edge.listen(ip, port) ? 0 : 1;
+    return edge.listenDeep(ip, port) ? 0 : 1;
 }
 
 } // namespace acaciaslip::standins
--- a/tests/protocol/http/message_parser_test.cpp
+++ b/tests/protocol/http/message_parser_test.cpp
@@ -15,6 +15,13 @@
         return parser.take(m_left);
     }
 
+    /// Reads one request off a connection of its own.
+    [[nodiscard]] static parse_progress parseOne(std::string_view text, message_limits limits = { 1024, 100 })
+    {
+        message_parser parser(message_side::requests, limits);
+        return parser.take(text);
+    }
+
     message_parser m_requests { message_side::requests, { 1024, 100 } };
     message_parser m_answers { message_side::answers, { 1024, 100 } };
     std::string_view m_left;
@@ -117,12 +124,161 @@
     EXPECT_EQ(feed(m_answers, "\x16\x03\x01 garbage"), parse_progress::malformed);
 }
 
+TEST_F(message_parser_test, Answer_ToHeadBehindInterimOne_HasNoBody)
+{
+    m_answers.expectNoBody();
+    std::string_view input = "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n";
+    ASSERT_EQ(m_answers.take(input), parse_progress::whole);
+    EXPECT_EQ(m_answers.takeMessage().status, 103);
+    EXPECT_EQ(m_answers.take(input), parse_progress::whole);
+}
+
+TEST_F(message_parser_test, Request_ConnectionOptions_TellWhetherItIsKept)
+{
+    const auto keeps = [](const std::string& text) {
+        message_parser parser(message_side::requests, { 1024, 100 });
+        std::string_view input = text;
+        EXPECT_EQ(parser.take(input), parse_progress::whole) << text;
+        return parser.takeMessage().keepAlive;
+    };
+    EXPECT_FALSE(keeps("GET / HTTP/1.1\r\nHost: h\r\nConnection: a, Close\r\n\r\n"));
+    EXPECT_FALSE(keeps("GET / HTTP/1.0\r\n\r\n"));
+    EXPECT_TRUE(keeps("GET / HTTP/1.0\r\nConnection: keep-alive\r\n\r\n"));
+}
+
 TEST_F(message_parser_test, Answer_FollowedByBytes_BytesAreLeft)
 {
     ASSERT_EQ(feed(m_answers, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nxHTTP/1.1 200"), parse_progress::whole);
     EXPECT_EQ(m_left, "HTTP/1.1 200");
 }
 
+TEST_F(message_parser_test, Request_AmbiguousFraming_Malformed)
+{
+    const std::string start = "POST / HTTP/1.1\r\nHost: h\r\n";
+    for (const auto* fields :
+        { "Content-Length: 5\r\nContent-Length: 5\r\n", "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+            "Transfer-Encoding : chunked\r\n", "Content-Length : 5\r\n", "Transfer-Encoding: gzip\r\n",
+            "Transfer-Encoding: gzip, chunked\r\n", "Transfer-Encoding: identity\r\n",
+            "Transfer-Encoding: chunked, chunked\r\n", "Transfer-Encoding: \r\n", "Content-Length: 5, 5\r\n",
+            "Content-Length: +5\r\n", "Content-Length: -1\r\n", "Content-Length: 0x5\r\n", "Content-Length: 5 5\r\n",
+            "Content-Length: \r\n", "Content-Length: five\r\n", "Content-Length: 99999999999999999999\r\n" })
+        EXPECT_EQ(parseOne(start + fields + "\r\n0\r\n\r\n"), parse_progress::malformed) << fields;
+    EXPECT_EQ(parseOne("POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"), parse_progress::malformed);
+}
+
+TEST_F(message_parser_test, Request_MalformedHeader_Malformed)
+{
+    const std::string start = "GET / HTTP/1.1\r\nHost: h\r\n";
+    EXPECT_EQ(parseOne(start + "A : b\r\n\r\n"), parse_progress::malformed) << "space before the colon";
+    EXPECT_EQ(parseOne(start + "A: b\r\n folded: c\r\n\r\n"), parse_progress::malformed) << "folded line";
+    EXPECT_EQ(parseOne(start + ": b\r\n\r\n"), parse_progress::malformed) << "no name";
+    EXPECT_EQ(parseOne(start + "no colon\r\n\r\n"), parse_progress::malformed);
+    EXPECT_EQ(parseOne(start + "A: b\nTransfer-Encoding: chunked\r\n\r\n"), parse_progress::malformed) << "line feed";
+    EXPECT_EQ(parseOne(start + "A: b\rc\r\n\r\n"), parse_progress::malformed) << "carriage return";
+    EXPECT_EQ(parseOne(start + std::string("A: b\0c\r\n\r\n", 10)), parse_progress::malformed) << "NUL";
+}
+
+TEST_F(message_parser_test, RequestLine_Malformed_IsRefused)
+{
+    const std::string rest = "\r\nHost: h\r\n\r\n";
+    for (const auto* line : { "GET  / HTTP/1.1", "GET / HTTP/1.1 ", " GET / HTTP/1.1", "GET /", "GET / a HTTP/1.1", "",
+             "G(T / HTTP/1.1", "GET /# HTTP/1.1", "GET /\t HTTP/1.1" })
+        EXPECT_EQ(parseOne(line + rest), parse_progress::malformed) << line;
+    EXPECT_EQ(parseOne("GET / HTTP/2.0" + rest), parse_progress::unknown_version);
+}
+
+TEST_F(message_parser_test, Request_ManyHeadersOrLongLine_Refused)
+{
+    message_limits limits { 65536, 100, 8000, 100 };
+    std::string many = "GET / HTTP/1.1\r\nHost: h\r\n";
+    EXPECT_EQ(parseOne(many + "A: " + std::string(8000, 'a') + "\r\n\r\n", limits), parse_progress::head_too_large);
+    EXPECT_EQ(parseOne("GET /" + std::string(8000, 'a') + " HTTP/1.1\r\nHost: h\r\n\r\n", limits),
+        parse_progress::target_too_long);
+    for (int index = 0; index < 100; ++index)
+        many += "A: b\r\n";
+    EXPECT_EQ(parseOne(many + "\r\n", limits), parse_progress::head_too_large);
+}
+
+TEST_F(message_parser_test, ChunkedBody_Malformed_IsSaid)
+{
+    const std::string head = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (const auto* body : { "\r\n", "x\r\n", "-1\r\n", " 3\r\nabc\r\n", "0x3\r\nabc\r\n", "3\nabc\r\n",
+             "3\r\nabcd\r\n", "3\r\nabc\n", "3\rX\r\n", "10000000000000000000\r\n", "3 \r\nabc\r\n" })
+        EXPECT_EQ(parseOne(head + body), parse_progress::malformed) << body;
+    EXPECT_EQ(parseOne(head + "65\r\n"), parse_progress::body_too_large) << "before it is read";
+}
+
+TEST_F(message_parser_test, ChunkedBody_CutAnywhere_ReadsTheSame)
+{
+    const std::string text = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+                             "3;a=b\r\nabc\r\n0A\r\n0123456789\r\n0\r\nTrailer: x\r\n\r\nrest";
+    std::mt19937 random(11);
+    for (int round = 0; round < 2000; ++round) {
+        message_parser parser(message_side::requests, { 1024, 100 });
+        auto progress = parse_progress::more;
+        std::string left;
+        for (std::size_t at = 0; at < text.size();) {
+            const auto size = std::min<std::size_t>(1 + random() % 12, text.size() - at);
+            std::string_view input = std::string_view(text).substr(at, size);
+            progress = parser.take(input);
+            left += input;
+            at += size;
+        }
+        ASSERT_EQ(progress, parse_progress::whole);
+        const auto request = parser.takeMessage();
+        ASSERT_EQ(request.body, "abc0123456789");
+        ASSERT_FALSE(findHeader(request, "Trailer")) << "a trailer is no header";
+        ASSERT_EQ(left, "rest");
+    }
+}
+
+TEST_F(message_parser_test, Answer_EndInDoubt_Malformed)
+{
+    for (const auto* fields :
+        { "Content-Length: 5\r\nContent-Length: 6\r\n", "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n" }) {
+        message_parser parser(message_side::answers, { 1024, 100 });
+        EXPECT_EQ(feed(parser, std::string("HTTP/1.1 200 OK\r\n") + fields + "\r\n"), parse_progress::malformed);
+    }
+    for (const auto* line : { "HTTP/1.1 2x0 OK", "HTTP/2 200 OK" }) {
+        message_parser parser(message_side::answers, { 1024, 100 });
+        EXPECT_EQ(feed(parser, std::string(line) + "\r\nContent-Length: 5\r\n\r\n"), parse_progress::malformed);
+    }
+}
+
+/// Changes a few bytes of a good request at random: what is still taken holds no line that was not sent as one.
+TEST_F(message_parser_test, Request_RandomChanges_NeverSmuggleALine)
+{
+    const std::string good
+        = "POST /bookings?x=%41 HTTP/1.1\r\nHost: h:1\r\nContent-Length: 0\r\nConnection: close\r\nA: b, c\r\n\r\n";
+    const std::string pool { '\r', '\n', '\t', ' ', ':', ',', '%', '0', '\0', 'a', 'Z', '\x7f', '\xff' };
+    std::mt19937 random(7);
+    int taken = 0;
+    for (int round = 0; round < 50000; ++round) {
+        auto text = good;
+        for (auto changes = 1 + random() % 4; changes > 0; --changes) {
+            const auto at = random() % text.size();
+            if (random() % 3 == 0)
+                text.erase(at, 1 + random() % 3);
+            else if (random() % 2 == 0)
+                text.insert(at, 1, pool[random() % pool.size()]);
+            else
+                text[at] = pool[random() % pool.size()];
+        }
+        message_parser parser(message_side::requests, { 1024, 100 });
+        if (feed(parser, text) != parse_progress::whole)
+            continue;
+        ++taken;
+        const auto request = parser.takeMessage();
+        const auto isClean = [](std::string_view of) { return of.find_first_of("\r\n") == std::string_view::npos; };
+        ASSERT_TRUE(isClean(request.target)) << text;
+        for (const auto& header : request.headers) {
+            ASSERT_TRUE(isClean(header.name) && isClean(header.value)) << text;
+            ASSERT_EQ(header.name.find_first_of(" \t:"), std::string::npos) << text;
+        }
+    }
+    EXPECT_GT(taken, 1000);
+}
+
 /// Mutated messages never crash the parser nor make it stand still.
 TEST_F(message_parser_test, Messages_Mutated_EndOrProgress)
 {
--- a/tests/transport/loop/loop_fixture.hpp
+++ b/tests/transport/loop/loop_fixture.hpp
@@ -64,6 +64,7 @@
     raw_server(const raw_server&) = delete;
     raw_server& operator=(const raw_server&) = delete;
 
+    [[nodiscard]] int port() const { return m_listener.port(); }
     [[nodiscard]] std::string address() const { return "127.0.0.1:" + std::to_string(m_listener.port()); }
 
     std::function<void(raw_end&)> onBytes;
--- /dev/null
+++ b/tests/transport/loop/node_daemon_test.cpp
@@ -0,0 +1,147 @@
+#include "transport/loop/node_daemon.hpp"
+
+#include "protocol/peer_codec.hpp"
+#include "transport/raw_socket.hpp"
+
+#include <thread>
+
+#include <arpa/inet.h>
+#include <fmt/format.h>
+#include <gmock/gmock.h>
+#include <pcg_random.hpp>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace acaciaslip::transport::loop {
+namespace {
+
+using testing::HasSubstr;
+using namespace std::chrono_literals;
+
+/// A whole node without a platform, on a thread of its own.
+class node_daemon_test : public testing::Test {
+protected:
+    node_daemon_test()
+    {
+        m_settings.id = "entry-a1";
+        m_settings.dataCentre = "dc-a";
+        for (auto* address : { &m_settings.callers, &m_settings.operators, &m_settings.peers })
+            *address = fmt::format("127.0.0.1:{}", findFreePort());
+        m_settings.platform = { "127.0.0.1:1" };
+        m_settings.lameDuck = 20ms;
+        m_settings.logLevel = "error";
+    }
+
+    void start()
+    {
+        m_daemon = std::make_unique<node_daemon>(m_settings);
+        ASSERT_TRUE(m_daemon->start().ok());
+        m_thread = std::thread([this] { m_daemon->run(); });
+    }
+
+    void TearDown() override
+    {
+        if (!m_thread.joinable())
+            return;
+        (void)ask("POST /drain");
+        m_thread.join();
+    }
+
+    static int portOf(const std::string& address) { return std::stoi(address.substr(address.find(':') + 1)); }
+
+    [[nodiscard]] std::string ask(const std::string& request) const
+    {
+        auto operators = raw_socket::connect(portOf(m_settings.operators));
+        operators.send(request + " HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+        return operators.readToEnd();
+    }
+
+    void sendDatagram(const std::string& bytes) const
+    {
+        const int raw = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+        sockaddr_in target {};
+        target.sin_family = AF_INET;
+        target.sin_port = htons(static_cast<std::uint16_t>(portOf(m_settings.peers)));
+        inet_pton(AF_INET, "127.0.0.1", &target.sin_addr);
+        sendto(raw, bytes.data(), bytes.size(), 0, reinterpret_cast<const sockaddr*>(&target), sizeof(target));
+        close(raw);
+    }
+
+    /// A counter's value on the metrics page.
+    [[nodiscard]] int countOf(const std::string& name) const
+    {
+        const auto text = ask("GET /metrics");
+        const auto at = text.find("\n" + name + " ");
+        return at == std::string::npos ? -1 : std::stoi(text.substr(at + name.size() + 2));
+    }
+
+    state::node_settings m_settings;
+    std::unique_ptr<node_daemon> m_daemon;
+    std::thread m_thread;
+};
+
+TEST_F(node_daemon_test, RandomDatagrams_AnySize_AreDroppedAndCounted)
+{
+    start();
+    pcg32 random(5);
+    for (int round = 0; round < 50; ++round) {
+        std::string bytes(random(3000), '\0');
+        for (auto& letter : bytes)
+            letter = static_cast<char>(random());
+        sendDatagram(bytes);
+    }
+    EXPECT_TRUE(eventually([&] { return countOf("acaciaslip_peer_messages_dropped_total") >= 25; }));
+    EXPECT_EQ(countOf("acaciaslip_peer_messages_taken_total"), 0);
+}
+
+TEST_F(node_daemon_test, Datagram_OfAPeerThatIsNotListed_IsReadAndDropped)
+{
+    start();
+    state::peer_message message;
+    message.from = "b";
+    message.incarnation = 1;
+    message.sequence = 1;
+    sendDatagram(*protocol::encodeDatagram(message));
+    EXPECT_TRUE(eventually([&] { return ask("GET /dump").find("\"peer_messages_unknown\": 1") != std::string::npos; }))
+        << ask("GET /dump");
+}
+
+TEST_F(node_daemon_test, OperatorsPort_AnyQuestion_IsAnswered)
+{
+    start();
+    EXPECT_THAT(ask("GET /health"), HasSubstr("HTTP/1.1 503"));
+    EXPECT_THAT(ask("GET /health"), HasSubstr("{\"state\":\"starting\"}"));
+    EXPECT_THAT(ask("GET /dump"), HasSubstr("\"entry-a1\""));
+    EXPECT_THAT(ask("GET /metrics"), HasSubstr("acaciaslip_phase{phase=\"starting\"} 1"));
+    EXPECT_THAT(ask("GET /drain"), HasSubstr("HTTP/1.1 405"));
+    EXPECT_THAT(ask("GET /other"), HasSubstr("HTTP/1.1 404"));
+}
+
+TEST_F(node_daemon_test, Caller_BeforeAnySettings_IsRefusedNotRun)
+{
+    start();
+    auto caller = raw_socket::connect(portOf(m_settings.callers));
+    caller.send("GET /routes HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    const auto text = caller.readToEnd();
+    EXPECT_THAT(text, HasSubstr("HTTP/1.1 503"));
+    EXPECT_EQ(headerOf(text, "Acaciaslip-Verdict"), "not_run");
+}
+
+TEST_F(node_daemon_test, Address_InUse_IsSaidAtStart)
+{
+    start();
+    for (auto member :
+        { &state::node_settings::callers, &state::node_settings::operators, &state::node_settings::peers }) {
+        auto settings = m_settings;
+        for (auto* address : { &settings.callers, &settings.operators, &settings.peers })
+            *address = fmt::format("127.0.0.1:{}", findFreePort());
+        settings.*member = m_settings.*member;
+        node_daemon again(settings);
+        const auto status = again.start();
+        EXPECT_EQ(status.code(), absl::StatusCode::kUnavailable);
+        EXPECT_THAT(std::string(status.message()), HasSubstr(settings.*member));
+    }
+}
+
+} // namespace
+} // namespace acaciaslip::transport::loop
