Check the platform's settings and configurations from the command line

Cause: a configuration was refused with its first error only, and a rendered settings file could be checked by starting a process alone.

--- a/src/app/command_line.cpp
+++ b/src/app/command_line.cpp
@@ -5,6 +5,7 @@
 #include "app/node_commands.hpp"
 #include "app/serve.hpp"
 #include "app/settings_commands.hpp"
+#include "platform/check.hpp"
 #include "platform/gateway.hpp"
 
 #include <array>
@@ -46,7 +47,7 @@
 
 constexpr std::size_t anyNumber = std::numeric_limits<std::size_t>::max();
 
-constexpr std::array<command, 8> commands { {
+constexpr std::array<command, 9> commands { {
     { "serve", "--settings FILE", "run this host's node until SIGTERM or a drain", 0, 0, true, false,
         [](const arguments& given) { return serve(given.settingsFile); } },
     { "gateway", "",
@@ -54,6 +55,8 @@
         false, false, [](const arguments& /*given*/) { return platform::runGateway(); } },
     { "check", "FILE…", "check node.yaml files, the platform's values, or folders of them", 1, anyNumber, false, false,
         [](const arguments& given) { return checkFiles(given.operands); } },
+    { "check-platform", "FILE…", "check the platform's settings files (YAML) and configurations (*.json)", 1, anyNumber,
+        false, false, [](const arguments& given) { return platform::checkPlatformFiles(given.operands); } },
     { "render", "FILE…", "print the services that the teams' templates expand to", 1, anyNumber, false, false,
         [](const arguments& given) { return renderFiles(given.operands); } },
     { "explain", "ID", "print one request's way from the gateways' logs on standard input", 1, 1, false, false,
--- a/src/platform/item_reader.cpp
+++ b/src/platform/item_reader.cpp
@@ -166,21 +166,6 @@
     return static_cast<std::uint32_t>(number);
 }
 
-configuration readWhole(const json& from)
-{
-    configuration config;
-    config.version = readVersion(from);
-    config.limits = readLimits(at(from, "limits"));
-    for (const auto& listener : at(from, "listeners")) {
-        const auto host = text(listener, "host");
-        for (const auto& rule : at(listener, "rules"))
-            config.routes.push_back(readRoute(host, rule));
-    }
-    for (const auto& service : at(from, "clusters"))
-        config.services.push_back(readService(service));
-    return config;
-}
-
 template <typename Read> auto readChecked(std::string_view what, const Read& read) -> absl::StatusOr<decltype(read())>
 {
     try {
@@ -193,6 +178,57 @@
     }
 }
 
+/// Reads a configuration part by part, so that every part with an error is told.
+class configuration_reader {
+public:
+    explicit configuration_reader(const json& from)
+        : m_from(from)
+    {
+    }
+
+    absl::StatusOr<configuration> read()
+    {
+        readPart("version", [&] { m_config.version = readVersion(m_from); });
+        readPart("limits", [&] { m_config.limits = readLimits(at(m_from, "limits")); });
+        readEach("", m_from, "listeners", [&](const std::string& place, const json& listener) {
+            const auto host = text(listener, "host");
+            readEach(place + ".", listener, "rules",
+                [&](const std::string&, const json& rule) { m_config.routes.push_back(readRoute(host, rule)); });
+        });
+        readEach("", m_from, "clusters",
+            [&](const std::string&, const json& service) { m_config.services.push_back(readService(service)); });
+        if (!m_errors.empty())
+            return absl::InvalidArgumentError("configuration: " + m_errors);
+        return std::move(m_config);
+    }
+
+private:
+    template <typename Read> void readPart(const std::string& place, const Read& read)
+    {
+        const auto status = readChecked(place, [&] { return read(), true; });
+        if (!status.ok())
+            m_errors += fmt::format("{}{}", m_errors.empty() ? "" : "; ", std::string(status.status().message()));
+    }
+
+    /// Reads every element of a list; `place` says where the list's owner stands.
+    template <typename Read>
+    void readEach(const std::string& place, const json& owner, const char* field, const Read& read)
+    {
+        readPart(place + field, [&] { (void)at(owner, field); });
+        if (!owner.is_object() || !owner.contains(field))
+            return;
+        std::size_t index = 0;
+        for (const auto& element : owner[field]) {
+            const auto at = fmt::format("{}{}[{}]", place, field, index++);
+            readPart(at, [&] { read(at, element); });
+        }
+    }
+
+    const json& m_from;
+    configuration m_config;
+    std::string m_errors;
+};
+
 } // namespace
 
 absl::StatusOr<server_entry> readServerEntry(const std::string& id, const std::string& text)
@@ -202,7 +238,8 @@
 
 absl::StatusOr<configuration> readConfiguration(const std::string& text)
 {
-    return readChecked("configuration", [&] { return readWhole(json::parse(text)); });
+    const auto parsed = readChecked("configuration", [&] { return json::parse(text); });
+    return parsed.ok() ? configuration_reader(*parsed).read() : parsed.status();
 }
 
 namespace {
--- a/src/platform/item_reader.hpp
+++ b/src/platform/item_reader.hpp
@@ -20,6 +20,7 @@
     const std::string& id, const std::string& text);
 
 /// Reads a whole configuration.
+/// \return the configuration, or every part that cannot be read, with its place and the field
 [[nodiscard]] absl::StatusOr<state::gateway::configuration> readConfiguration(const std::string& text);
 
 /// Adds one item of the store, or its removal, to what was read.
--- a/tests/platform/item_reader_test.cpp
+++ b/tests/platform/item_reader_test.cpp
@@ -45,6 +45,21 @@
             "i-1", "huvo11a", "10.128.0.9:8080", "midden-a", 4, false, 1500ms, 1700000000123 }));
 }
 
+TEST_F(item_reader_test, Configuration_ManyErrors_AreAllToldWithTheirPlaces)
+{
+    auto text = json::parse(configurationText);
+    text["limits"].erase("idle-timeout");
+    text["listeners"][0]["rules"][0]["action"]["timeout"] = "soon";
+    text["listeners"][1]["rules"][0].erase("kind");
+    text["clusters"][0]["max-conns"] = -1;
+    const auto config = readConfiguration(text.dump());
+    ASSERT_FALSE(config.ok());
+    const std::string message(config.status().message());
+    for (const auto* error : { "limits: field 'idle-timeout'", "listeners[0].rules[0]: field 'timeout'",
+             "listeners[1].rules[0]: field 'kind'", "clusters[0]: field 'max-conns'" })
+        EXPECT_NE(message.find(error), std::string::npos) << message;
+}
+
 TEST_F(item_reader_test, Entry_FieldMissingOrOfAnotherType_RefusedWithItsName)
 {
     for (const auto* pointer :
