Write the published fleet once for all hosts that ask for it

Change: fleet_service keeps what it has written until more is known, for the few revisions that hosts ask from. peer_edge keeps the asking side.

--- a/src/transport/loop/gateway_daemon.cpp
+++ b/src/transport/loop/gateway_daemon.cpp
@@ -199,7 +199,7 @@
     }
     if (path == "/dump")
         return { 200, "application/json", protocol::describeGateway(m_node, bootNow()).dump() + "\n" };
-    if (auto answer = peer_edge::answerFetch(request, m_node.published))
+    if (auto answer = m_fleet.answer(request, m_node.published))
         return std::move(*answer);
     return { statusNotFound, "text/plain", "no such path\n" };
 }
--- a/src/transport/loop/gateway_daemon.hpp
+++ b/src/transport/loop/gateway_daemon.hpp
@@ -4,6 +4,7 @@
 #include "protocol/server_dialect.hpp"
 #include "transport/loop/caller_edge.hpp"
 #include "transport/loop/event_queue.hpp"
+#include "transport/loop/fleet_service.hpp"
 #include "transport/loop/gateway_metrics.hpp"
 #include "transport/loop/http_service.hpp"
 #include "transport/loop/peer_edge.hpp"
@@ -96,6 +97,7 @@
     process_loop m_process;
     event_queue<coordination::gateway::event> m_queue;
     coordination::gateway::effect_list m_effects;
+    fleet_service m_fleet;
     store_follower m_store;
     std::function<void()> m_closing;
     std::unique_ptr<parts> m_parts;
--- a/src/transport/loop/peer_edge.cpp
+++ b/src/transport/loop/peer_edge.cpp
@@ -1,9 +1,7 @@
 #include "transport/loop/peer_edge.hpp"
 
-#include "coordination/gateway/fleet_merge.hpp"
 #include "protocol/gateway_peer_codec.hpp"
 
-#include <charconv>
 #include <utility>
 
 #include <fmt/format.h>
@@ -12,10 +10,8 @@
 
 namespace {
 
-constexpr std::string_view fetchPath = "/fleet";
 constexpr protocol::http::message_limits fetchLimits { 65536, 33554432 };
 constexpr int statusOk = 200;
-constexpr int statusUnavailable = 503;
 
 } // namespace
 
@@ -62,7 +58,7 @@
     const auto address = fmt::format("{}:{}", wanted.ip, m_fetchPort);
     m_fetcher.fetch(address,
         fmt::format(
-            "GET {}?after={} HTTP/1.1\r\nHost: {}\r\nConnection: close\r\n\r\n", fetchPath, wanted.after, address),
+            "GET {}?after={} HTTP/1.1\r\nHost: {}\r\nConnection: close\r\n\r\n", fleetPath, wanted.after, address),
         { wanted.patience, state::duration::zero() }, [this](const auto& answer) {
             if (answer)
                 takeFetched(*answer);
@@ -82,20 +78,6 @@
     }
 }
 
-std::optional<service_answer> peer_edge::answerFetch(
-    const protocol::http::message& request, const state::gateway::published_fleet& known)
-{
-    if (protocol::http::pathOf(request.target) != fetchPath)
-        return std::nullopt;
-    const auto text = protocol::http::findParameter(request.target, "after").value_or("0");
-    state::revision after = 0;
-    std::from_chars(text.data(), text.data() + text.size(), after);
-    const auto bytes = protocol::encodeDelta(coordination::gateway::makeDelta(known, after));
-    if (!bytes.ok() || known.asOf == 0)
-        return service_answer { statusUnavailable, "text/plain", "nothing to give\n" };
-    return service_answer { statusOk, "application/octet-stream", *bytes };
-}
-
 void peer_edge::close()
 {
     m_fetcher.close();
--- a/src/transport/loop/peer_edge.hpp
+++ b/src/transport/loop/peer_edge.hpp
@@ -4,15 +4,17 @@
 #include "coordination/gateway/events.hpp"
 #include "protocol/http/message.hpp"
 #include "transport/loop/http_fetcher.hpp"
-#include "transport/loop/http_service.hpp"
 #include "transport/loop/udp_socket.hpp"
 
 #include <functional>
-#include <optional>
 #include <string>
+#include <string_view>
 
 namespace acaciaslip::transport::loop {
 
+/// Path on the operators' port where hosts fetch the published fleet from each other.
+inline constexpr std::string_view fleetPath = "/fleet";
+
 /// The side towards other entry hosts: heartbeats as datagrams, and the published fleet over TCP.
 class peer_edge {
 public:
@@ -28,10 +30,6 @@
     void tell(const coordination::gateway::tell_peer& wanted);
     void fetch(const coordination::gateway::fetch_fleet& wanted);
 
-    /// Answers another host's fetch; nothing when the request is none.
-    [[nodiscard]] static std::optional<service_answer> answerFetch(
-        const protocol::http::message& request, const state::gateway::published_fleet& known);
-
     [[nodiscard]] std::uint64_t refused() const noexcept { return m_refused; } ///< datagrams that are no heartbeat
 
     void close();
