--- a/tests/transport/loop/attempt_links_test.cpp
+++ b/tests/transport/loop/attempt_links_test.cpp
@@ -201,7 +201,7 @@
         { "Content-Length: 100001\r\n\r\n", outcome::mismatched },
         { "Acaciaslip-Request: n1-77\r\nContent-Length: 3\r\n\r\nabc", outcome::mismatched },
     };
-    std::size_t index = 0;
+    std::atomic<std::size_t> index = 0; // read on the server's thread
     serve([&](const std::string& request) { return echo(request) + rests[index].first; });
     startLinks();
     for (; index < rests.size(); ++index) {
@@ -238,7 +238,7 @@
     const std::vector<std::pair<std::string, std::string>> kinds { { "HEAD", "200 OK\r\nContent-Length: 77" },
         { "GET", "204 No Content" }, { "GET", "304 Not Modified\r\nContent-Length: 77" },
         { "GET", "304 Not Modified" } };
-    std::size_t index = 0;
+    std::atomic<std::size_t> index = 0; // read on the server's thread
     serve([&](const std::string& request) {
         return "HTTP/1.1 " + kinds[index].second + "\r\nAcaciaslip-Request: " + headerOf(request, "Acaciaslip-Request")
             + "\r\n\r\n";
