--- a/src/transport/loop/server_links.cpp
+++ b/src/transport/loop/server_links.cpp
@@ -45,7 +45,7 @@
 {
     const auto now = bootNow();
     for (auto idle = m_idle.find(address); idle != m_idle.end(); idle = m_idle.find(address)) {
-        const auto link = idle->second.back();
+        auto link = idle->second.back();
         if (now < link->usableUntil) {
             link->reused = true;
             idle->second.pop_back();
