Remove an accessor that nobody calls; say loop where the thread was

Cause: read-through of the change. tcp_stream::isClosed has no caller, and two comments still told of the thread that decided.

--- a/benchmarks/snapshot_benchmark.cpp
+++ b/benchmarks/snapshot_benchmark.cpp
@@ -25,7 +25,7 @@
     return node;
 }
 
-/// The time that the decision thread is held for one part of a copy.
+/// The time that the loop is held for one part of a copy.
 void copyOnePart(benchmark::State& state)
 {
     const auto node = makeLargeNode(state.range(0));
--- a/src/protocol/fleet_settings_reader.hpp
+++ b/src/protocol/fleet_settings_reader.hpp
@@ -27,8 +27,8 @@
 
 /// Remembers how each value was read, so that a change of one value doesn't read all others again.
 ///
-/// Gives the same result as readFleetSettings. Safe from any thread: a thread that has just fetched a value may read
-/// it ahead, so that the decision thread finds it ready.
+/// Gives the same result as readFleetSettings. Safe from any thread: a value that has just been fetched may be read
+/// ahead beside the loop, which then finds it ready.
 class fleet_settings_cache {
 public:
     /// Reads one value ahead.
--- a/src/transport/loop/tcp_stream.hpp
+++ b/src/transport/loop/tcp_stream.hpp
@@ -67,7 +67,6 @@
     /// Whether something waits to be read: bytes, the other side's end or a reset.
     [[nodiscard]] bool hasUnread() const;
 
-    [[nodiscard]] bool isClosed() const noexcept { return m_closed; }
     [[nodiscard]] std::size_t unwritten() const noexcept { return m_unwritten; } ///< bytes not yet with the system
 
 private:
