Give up a silent store within config-apply, and survive any answer of it

Version 6, acknowledged at 3.127 s, so took effect from 6.17 to 6.59 s, where 2.5 s are allowed. No host had another source: the relay between data centres only helps if one watcher hears the change. Cause of the crashes and loops: the store client read fields of an answer outside of any check of their types, copied nested values recursively (a list nested a million deep exhausted the stack), took any answer to a watch as a reason to ask again at once, and put keys unencoded into queries. Change: a watcher that has had no answer for config-apply less 0.7 s connects again and asks without waiting (maxStoreSilence). Time limits double while calls fail, so that a slow store is not given up each time. Answers are checked as a whole (store_answer); one that cannot be used counts as a lost store with its reason. Early watch answers are paced (call_pacing), counted and logged once; listings are bounded; JSON nested deeper than 64 levels is rejected. A watch that is answered at once is called at most 12 times in 2 s in the test; 227,000 calls in 3 s were reported before.

--- a/src/coordination/gateway/settings.hpp
+++ b/src/coordination/gateway/settings.hpp
@@ -15,6 +15,7 @@
     state::duration retryWindow = std::chrono::seconds { 10 };
     double minRetries = 50; ///< retries per `retryWindow` in addition to the ratio, over all hosts
     state::duration shutdownGrace = std::chrono::seconds { 6 }; ///< time between SIGTERM and SIGKILL
+    state::duration configApply = std::chrono::seconds { 2 }; ///< from a change in the store to its effect on all hosts
 };
 
 /// Settings of this node alone.
--- a/src/coordination/gateway/store_watch.cpp
+++ b/src/coordination/gateway/store_watch.cpp
@@ -20,6 +20,9 @@
 constexpr state::duration watcherTimeout = std::chrono::milliseconds { 900 }; ///< tolerates two lost heartbeats
 /// Time for which other hosts must watch the store without interruption before this one stops.
 constexpr state::duration stepDownDelay = std::chrono::milliseconds { 500 };
+/// Time for a watcher to read a change on a new connection and for the hosts of its data centre to fetch it.
+constexpr state::duration changeSpreadTime = std::chrono::milliseconds { 700 };
+constexpr state::duration minStoreSilence = std::chrono::milliseconds { 600 }; ///< limits the calls of short bounds
 /// A delta with more changes than this is announced by its revision only, and peers fetch it.
 constexpr std::size_t maxRelayedChanges = 6;
 
@@ -105,6 +108,11 @@
 
 } // namespace
 
+state::duration maxStoreSilence(const fleet_limits& limits) noexcept
+{
+    return std::max(limits.configApply - changeSpreadTime, minStoreSilence);
+}
+
 store_access findStoreAccess(const gateway_node& self) noexcept
 {
     if (!self.storeWatch.watching || self.published.asOf == 0)
--- a/src/coordination/gateway/store_watch.hpp
+++ b/src/coordination/gateway/store_watch.hpp
@@ -9,6 +9,11 @@
 /// unless it receives heartbeats from its data centre showing that a host with a lower address watches a store that
 /// responds, or that several such hosts are trying to.
 
+/// Longest time for which a watcher may go without an answer of the store. A connection may fall silent without an
+/// error at the moment of a change, for the watchers of all data centres at once, so the silence and the relay to all
+/// hosts together must fit into the time within which a change takes effect.
+[[nodiscard]] state::duration maxStoreSilence(const fleet_limits& limits) noexcept;
+
 /// Whether this node watches the store, for its heartbeats.
 [[nodiscard]] state::gateway::store_access findStoreAccess(const gateway_node& self) noexcept;
 
--- a/src/platform/gateway.cpp
+++ b/src/platform/gateway.cpp
@@ -1,5 +1,6 @@
 #include "platform/gateway.hpp"
 
+#include "coordination/gateway/store_watch.hpp"
 #include "platform/host_settings.hpp"
 #include "platform/http_format.hpp"
 #include "platform/store_client.hpp"
@@ -80,7 +81,9 @@
         , m_signals(m_daemon.loop(), { SIGTERM, SIGINT, SIGHUP }, [this](int number) { handleSignal(number); })
     {
         m_daemon.setStore({ [this](const auto& wanted) { watchStore(wanted); }, [this] { m_store.restartWatch(); },
-            [this] { return m_store.calls(); }, [this] { m_store.stop(); } });
+            [this] { return m_store.calls(); }, [this] { return m_store.uselessAnswers(); },
+            [this] { m_store.stop(); } });
+        m_store.setMaxSilence(coordination::gateway::maxStoreSilence(host.limits));
         m_daemon.setCloseCallback([this] { m_signals.close(); });
         m_daemon.log(describeStart(host));
     }
@@ -115,6 +118,7 @@
                 { { "why", std::string(host.status().message()) } } });
         m_daemon.setLimits(host->limits);
         m_store.setAddress(host->storeAddress);
+        m_store.setMaxSilence(coordination::gateway::maxStoreSilence(host->limits));
         m_daemon.log({ coordination::log_level::info, "settings_reloaded", { { "store", host->storeAddress } } });
     }
 
--- a/src/platform/host_settings.cpp
+++ b/src/platform/host_settings.cpp
@@ -109,6 +109,7 @@
     fields.readDuration("terms.bounds.retry-window", bounds.retryWindow);
     fields.parseUnsigned("terms.bounds.retry-slack", bounds.minRetries);
     fields.readDuration("terms.bounds.grace", bounds.shutdownGrace);
+    fields.readDuration("terms.bounds.config-apply", bounds.configApply);
 }
 
 host_settings readFields(field_reader& fields)
--- a/src/platform/item_reader.cpp
+++ b/src/platform/item_reader.cpp
@@ -1,6 +1,7 @@
 #include "platform/item_reader.hpp"
 
 #include "platform/duration_parser.hpp"
+#include "platform/json_text.hpp"
 
 #include <algorithm>
 #include <limits>
@@ -233,12 +234,12 @@
 
 absl::StatusOr<server_entry> readServerEntry(const std::string& id, const std::string& text)
 {
-    return readChecked("server " + id, [&] { return readEntry(id, json::parse(text)); });
+    return readChecked("server " + id, [&] { return readEntry(id, parseJsonOrThrow(text)); });
 }
 
 absl::StatusOr<configuration> readConfiguration(const std::string& text)
 {
-    const auto parsed = readChecked("configuration", [&] { return json::parse(text); });
+    const auto parsed = readChecked("configuration", [&] { return parseJsonOrThrow(text); });
     return parsed.ok() ? configuration_reader(*parsed).read() : parsed.status();
 }
 
--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -1,6 +1,8 @@
 #include "platform/store_client.hpp"
 
 #include "platform/item_reader.hpp"
+#include "platform/store_answer.hpp"
+#include "transport/loop/boot_clock.hpp"
 
 #include <algorithm>
 #include <array>
@@ -17,10 +19,13 @@
 using nlohmann::json;
 
 constexpr std::array<std::string_view, 2> prefixes { operatorPrefix, serverPrefix };
-constexpr protocol::http::message_limits responseLimits { 65536, 16777216 }; ///< bytes; a page has about 1 MB
-/// Time for which the store may hold a watch open. An unresponsive store is detected after `watchTimeout`.
-constexpr std::chrono::milliseconds watchWait { 2500 };
-constexpr state::duration watchTimeout = watchWait + std::chrono::milliseconds { 700 };
+/// Bytes. A page has about 1 MB; parsed JSON takes several times the size of its text.
+constexpr protocol::http::message_limits responseLimits { 65536, 4194304 };
+/// Time that the store needs for an answer, including the network and a busy host.
+constexpr state::duration answerMargin = std::chrono::milliseconds { 400 };
+constexpr std::chrono::milliseconds minWatchWait { 200 };
+/// Requested after a failure: the store answers at once, so that a second lost answer does not cost a whole watch.
+constexpr std::chrono::milliseconds recoveryWait { 1 };
 constexpr state::duration listTimeout = std::chrono::milliseconds { 1000 };
 /// Delay before the next watch. Changes arrive in bursts, and a short delay lets one call read a whole burst. It is
 /// small compared with the seconds within which a change must take effect.
@@ -28,9 +33,10 @@
 /// Delay of the first watch. Within this time a newly started host learns from heartbeats whether other hosts follow
 /// the store, in which case it does not need to watch it.
 constexpr state::duration firstWatchDelay = std::chrono::milliseconds { 400 };
-constexpr state::duration minBackoff = std::chrono::milliseconds { 100 };
-constexpr state::duration maxBackoff = std::chrono::milliseconds { 800 };
-constexpr std::uint32_t maxBackoffDoublings = 4;
+/// Minimum time between two watches that are ended early because a peer has newer data.
+constexpr state::duration minRestartInterval = std::chrono::milliseconds { 800 };
+constexpr std::size_t maxListedItems = 65536; ///< of one prefix; a listing that does not end is given up
+constexpr std::uint32_t jitterSteps = 1024;
 constexpr int statusOk = 200;
 constexpr int statusGone = 410;
 
@@ -47,6 +53,11 @@
 {
 }
 
+double store_client::jitter()
+{
+    return static_cast<double>(m_random(jitterSteps)) / jitterSteps;
+}
+
 void store_client::start()
 {
     if (!std::exchange(m_following, true))
@@ -72,8 +83,10 @@
 
 void store_client::restartWatch()
 {
-    if (!m_following || m_stage != stage::watching)
+    const auto now = transport::loop::bootNow();
+    if (!m_following || m_stage != stage::watching || now < m_restartAllowedAt)
         return;
+    m_restartAllowedAt = now + minRestartInterval;
     m_timeout.stop();
     closeConnection();
     callNext();
@@ -94,6 +107,7 @@
     if (m_stage != stage::listing) {
         m_stage = stage::listing;
         m_prefix = 0;
+        m_listedItems = 0;
         m_after.clear();
         m_items = {};
     }
@@ -101,14 +115,27 @@
     if (m_allowStale)
         target += "&allow-stale=1";
     if (!m_after.empty())
-        target += fmt::format("&after={}", m_after);
-    call(std::move(target), listTimeout);
+        target += fmt::format("&after={}", encodeQueryValue(m_after));
+    call(std::move(target), answerTimeout(m_pacing, listTimeout));
+}
+
+/// The store is given up when it has not answered for `m_maxSilence`, so a watch that starts later waits less.
+std::chrono::milliseconds store_client::findWatchWait() const
+{
+    if (m_pacing.failures > 0)
+        return recoveryWait;
+    const auto sinceAnswer = std::min(transport::loop::bootNow() - m_answeredAt, m_maxSilence);
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(m_maxSilence - answerMargin - sinceAnswer);
+    return std::max(left, minWatchWait);
 }
 
 void store_client::watch()
 {
     m_stage = stage::watching;
-    call(fmt::format("/kv-watch?path-prefix=&after={}&wait-ms={}", m_asOf, watchWait.count()), watchTimeout);
+    m_watchWait = findWatchWait();
+    m_watchStartedAt = transport::loop::bootNow();
+    call(fmt::format("/kv-watch?path-prefix=&after={}&wait-ms={}", m_asOf, m_watchWait.count()),
+        m_watchWait + answerTimeout(m_pacing, answerMargin));
 }
 
 void store_client::call(std::string target, state::duration timeout)
@@ -138,47 +165,66 @@
     m_timeout.stop();
     if (!m_following)
         return;
-    if (answer.status == statusGone && m_stage == stage::watching) {
-        m_log({ coordination::log_level::info, "store_history_gone", { { "after", std::to_string(m_asOf) } } });
-        m_listingNeeded = true;
-        m_allowStale = false;
-        return callNext();
-    }
+    if (answer.status == statusGone && m_stage == stage::watching)
+        return handleHistoryGone();
     if (answer.status != statusOk)
         return handleFailure(fmt::format("status {}", answer.status));
-    const auto body = json::parse(answer.body, nullptr, false);
-    if (!body.is_object() || !body.contains("as-of") || !body["as-of"].is_number_unsigned())
-        return handleFailure("malformed response");
-    handleSuccess();
+    const auto read = readStoreAnswer(answer.body, m_stage == stage::listing ? "items" : "events", m_after);
+    if (!read.ok())
+        return handleFailure(std::string(read.status().message()));
+    m_answeredAt = transport::loop::bootNow();
+    if (std::exchange(m_lost, false))
+        m_sink(coordination::gateway::store_recovered {});
     if (m_stage == stage::listing)
-        handlePage(body);
+        handlePage(*read);
     else
-        handleEvents(body);
+        handleEvents(*read);
+}
+
+/// The store has dropped the history that a watch needs. If this happens again directly after a listing, the next
+/// listing waits like after a failure.
+void store_client::handleHistoryGone()
+{
+    m_log({ coordination::log_level::info, "store_history_gone", { { "after", std::to_string(m_asOf) } } });
+    m_listingNeeded = true;
+    m_allowStale = false;
+    if (std::exchange(m_historyGone, true))
+        return handleFailure("history gone again after a listing");
+    callNext();
 }
 
+/// Adds the items that can be read, and logs one line for all others.
 void store_client::addItems(const json& items)
 {
-    if (!items.is_array())
-        return;
+    std::size_t unreadable = 0;
+    std::string reason;
     for (const auto& item : items) {
-        if (const auto status = addItem(item, m_items); !status.ok())
-            m_log(
-                { coordination::log_level::warning, "item_passed_over", { { "why", std::string(status.message()) } } });
+        const auto status = addItem(item, m_items);
+        if (!status.ok() && ++unreadable == 1)
+            reason = std::string(status.message());
     }
+    if (unreadable > 0)
+        m_log({ coordination::log_level::warning, "item_passed_over",
+            { { "why", reason }, { "count", std::to_string(unreadable) } } });
 }
 
-void store_client::handlePage(const json& page)
+void store_client::handlePage(const store_answer& page)
 {
     // Pages do not form a consistent snapshot: only revisions up to the first page's are included in all of them.
     if (m_items.asOf == 0)
-        m_items.asOf = page["as-of"].get<state::revision>();
-    const auto items = page.value("items", json::array());
-    addItems(items);
-    if (page.value("has-more", false) && !items.empty() && items.back().contains("key")) {
-        m_after = items.back()["key"].get<std::string>();
+        m_items.asOf = page.asOf;
+    addItems(page.items);
+    m_listedItems += page.items.size();
+    if (m_listedItems > maxListedItems) {
+        m_stage = stage::idle; // the next listing starts from the first page
+        return handleFailure("the listing does not end");
+    }
+    if (page.nextPageAfter) {
+        m_after = *page.nextPageAfter;
         return callNext();
     }
     m_after.clear();
+    m_listedItems = 0;
     if (++m_prefix < prefixes.size())
         return callNext();
     finishListing();
@@ -189,6 +235,8 @@
     m_listingNeeded = false;
     m_stage = stage::idle;
     m_asOf = m_items.asOf;
+    if (!m_historyGone)
+        recordUsefulAnswer(m_pacing);
     m_sink(coordination::gateway::fleet_update_received {
         { true, 0, std::exchange(m_items, {}) }, coordination::gateway::fleet_source::store });
     if (std::exchange(m_firstListing, false))
@@ -197,30 +245,37 @@
         callNext();
 }
 
-void store_client::handleEvents(const json& events)
+void store_client::handleEvents(const store_answer& events)
 {
-    const auto asOf = events["as-of"].get<state::revision>();
-    const auto after = std::exchange(m_asOf, std::max(m_asOf, asOf));
+    const auto after = std::exchange(m_asOf, std::max(m_asOf, events.asOf));
+    const bool isNew = m_asOf > after;
+    const bool isEarly = transport::loop::bootNow() - m_watchStartedAt < m_watchWait / 2;
+    m_stage = stage::idle;
+    m_allowStale = true;
+    m_historyGone = false;
+    if (!isNew && isEarly)
+        return handleUselessAnswer(after);
+    recordUsefulAnswer(m_pacing);
     m_items = {};
     m_items.asOf = m_asOf;
-    const auto items = events.value("events", json::array());
-    addItems(items);
-    if (m_asOf > after)
+    addItems(events.items);
+    if (isNew)
         m_sink(coordination::gateway::fleet_update_received {
             { false, after, std::exchange(m_items, {}) }, coordination::gateway::fleet_source::store });
-    m_stage = stage::idle;
-    m_allowStale = true;
-    if (items.empty())
-        callNext();
-    else
+    if (isEarly || !events.items.empty())
         m_delay.start(changeBatchDelay);
+    else
+        callNext();
 }
 
-void store_client::handleSuccess()
+/// Events without a newer revision are ignored: they are already known or cannot be ordered.
+void store_client::handleUselessAnswer(state::revision known)
 {
-    m_failures = 0;
-    if (std::exchange(m_lost, false))
-        m_sink(coordination::gateway::store_recovered {});
+    const auto delay = delayAfterUselessAnswer(m_pacing, jitter());
+    if (m_pacing.uselessAnswers == 1)
+        m_log({ coordination::log_level::warning, "store_answer_useless",
+            { { "why", "the watch was answered early with nothing new" }, { "revision", std::to_string(known) } } });
+    m_delay.start(delay);
 }
 
 void store_client::handleFailure(const std::string& reason)
@@ -230,11 +285,9 @@
     if (!m_following)
         return;
     m_stage = m_stage == stage::listing ? stage::listing : stage::idle;
-    const auto doublings = std::min(m_failures++, maxBackoffDoublings);
     if (!std::exchange(m_lost, true))
         m_sink(coordination::gateway::store_lost { reason });
-    const auto backoff = std::min<state::duration>(minBackoff * (1U << doublings), maxBackoff);
-    m_delay.start(backoff / 2 + backoff / 2 * m_random(1024) / 1024); // NOLINT: jitter over the upper half
+    m_delay.start(delayAfterFailure(m_pacing, jitter()));
 }
 
 void store_client::closeConnection()
--- a/src/platform/store_client.hpp
+++ b/src/platform/store_client.hpp
@@ -2,6 +2,7 @@
 
 #include "coordination/effects.hpp"
 #include "coordination/gateway/events.hpp"
+#include "platform/call_pacing.hpp"
 #include "state/gateway/published_fleet.hpp"
 #include "transport/loop/http_connection.hpp"
 #include "transport/loop/timer.hpp"
@@ -16,10 +17,12 @@
 
 namespace acaciaslip::platform {
 
+struct store_answer;
+
 /// Follows the platform's store: lists all items once, then watches for changes.
 ///
-/// Failed calls are retried with exponential backoff. If the store has dropped the history that a watch needs, all
-/// items are listed again.
+/// Failed calls, answers that cannot be used and watches that end early without news are repeated with exponential
+/// backoff. If the store has dropped the history that a watch needs, all items are listed again.
 class store_client {
 public:
     using event_sink = std::function<void(coordination::gateway::event)>;
@@ -34,6 +37,9 @@
     /// Changes the store's address; used from the next new connection on.
     void setAddress(std::string address) { m_address = std::move(address); }
 
+    /// Sets the time after which a store that has not answered counts as lost; used from the next watch on.
+    void setMaxSilence(state::duration maxSilence) { m_maxSilence = maxSilence; }
+
     /// Stops following; `start` resumes.
     void stop();
 
@@ -45,6 +51,8 @@
 
     [[nodiscard]] bool isFollowing() const noexcept { return m_following; }
     [[nodiscard]] std::uint64_t calls() const noexcept { return m_calls; } ///< calls since the process started
+    /// Number of watch answers since the process started that came early and contained nothing new.
+    [[nodiscard]] std::uint64_t uselessAnswers() const noexcept { return m_pacing.uselessAnswersTotal; }
 
 private:
     enum class stage { idle, listing, watching };
@@ -54,11 +62,14 @@
     void list();
     void watch();
     void handleResponse(const protocol::http::message& answer);
-    void handlePage(const nlohmann::json& page);
+    void handlePage(const store_answer& page);
     void finishListing();
-    void handleEvents(const nlohmann::json& events);
+    void handleEvents(const store_answer& events);
+    void handleUselessAnswer(state::revision known);
+    void handleHistoryGone();
     void addItems(const nlohmann::json& items);
-    void handleSuccess();
+    [[nodiscard]] std::chrono::milliseconds findWatchWait() const;
+    double jitter();
     void handleFailure(const std::string& reason);
     void closeConnection();
 
@@ -82,7 +93,14 @@
     bool m_allowStale = true;
     bool m_following = false;
     bool m_lost = false;
-    std::uint32_t m_failures = 0; ///< consecutive
+    bool m_historyGone = false; ///< no watch has been answered since the store reported its history as gone
+    call_pacing m_pacing;
+    std::size_t m_listedItems = 0; ///< of the prefix that is being listed
+    state::duration m_maxSilence = std::chrono::milliseconds { 1300 };
+    std::chrono::milliseconds m_watchWait {}; ///< requested by the current watch
+    state::time_point m_watchStartedAt;
+    state::time_point m_answeredAt; ///< when the store last gave a usable answer
+    state::time_point m_restartAllowedAt;
     std::uint64_t m_calls = 0;
 };
 
--- a/src/transport/loop/gateway_daemon.cpp
+++ b/src/transport/loop/gateway_daemon.cpp
@@ -197,7 +197,8 @@
     const auto path = protocol::http::extractPath(request.target);
     if (path == "/metrics") {
         const gateway_process_gauges gauges { m_parts->servers.connectionsOpened(), m_process.log().dropped(),
-            m_store.calls ? m_store.calls() : 0, m_parts->peers.rejected() };
+            m_store.calls ? m_store.calls() : 0, m_store.uselessAnswers ? m_store.uselessAnswers() : 0,
+            m_parts->peers.rejected() };
         return { 200, "text/plain; version=0.0.4", writeGatewayMetrics(m_node, gauges, bootNow()) };
     }
     if (path == "/dump")
--- a/src/transport/loop/gateway_daemon.hpp
+++ b/src/transport/loop/gateway_daemon.hpp
@@ -42,6 +42,7 @@
         std::function<void(const coordination::gateway::watch_store&)> watch;
         std::function<void()> reread;
         std::function<std::uint64_t()> calls; ///< number of store calls since the start of the process
+        std::function<std::uint64_t()> uselessAnswers; ///< see `gateway_process_gauges`
         std::function<void()> close; ///< called before the loop ends
     };
 
--- a/src/transport/loop/gateway_metrics.cpp
+++ b/src/transport/loop/gateway_metrics.cpp
@@ -71,6 +71,8 @@
     families.push_back(makeCounter(
         "acaciaslip_log_lines_dropped_total", "Log lines that nobody read in time", gauges.logLinesDropped));
     families.push_back(makeCounter("acaciaslip_store_calls_total", "Calls to the store", gauges.storeCalls));
+    families.push_back(makeCounter("acaciaslip_store_useless_answers_total",
+        "Watches of the store answered early with nothing new", gauges.storeUselessAnswers));
     families.push_back(
         makeGauge("acaciaslip_peers", "Other entry hosts heard of lately", static_cast<double>(node.peers.size())));
     families.push_back(
--- a/src/transport/loop/gateway_metrics.hpp
+++ b/src/transport/loop/gateway_metrics.hpp
@@ -12,6 +12,7 @@
     std::uint64_t connectionsOpened = 0; ///< connections opened to servers
     std::uint64_t logLinesDropped = 0;
     std::uint64_t storeCalls = 0;
+    std::uint64_t storeUselessAnswers = 0; ///< watches answered early with nothing new
     std::uint64_t datagramsRejected = 0;
 };
 
--- a/tests/coordination/gateway/simulated_hosts.hpp
+++ b/tests/coordination/gateway/simulated_hosts.hpp
@@ -2,6 +2,7 @@
 
 #include "coordination/gateway/fleet_merge.hpp"
 #include "coordination/gateway/node.hpp"
+#include "coordination/gateway/store_watch.hpp"
 
 #include <deque>
 #include <functional>
@@ -66,6 +67,16 @@
     /// Starts a planned stop of a host.
     void stop(std::size_t index) { handleEvent(ipOf(index), stop_requested {}); }
 
+    /// Makes the connection of every watching host to the store silent: nothing more arrives on it, without an error. A
+    /// host notices this when the store has been silent for as long as it tolerates, and connects again.
+    void silenceStoreConnections()
+    {
+        for (const auto& [ip, node] : nodes) {
+            if (node.storeWatch.watching)
+                m_silentUntil[ip] = now + maxStoreSilence(node.settings.limits);
+        }
+    }
+
     bool isPartitioned(const std::string& from, const std::string& to) const
     {
         return partitionedHosts.contains(from) || partitionedHosts.contains(to);
@@ -104,7 +115,7 @@
 
     void readStore(const std::string& ip, gateway_node& node)
     {
-        if (!node.storeWatch.watching || storeUnresponsive.contains(ip))
+        if (!node.storeWatch.watching || storeUnresponsive.contains(ip) || isSilent(ip))
             return;
         const bool unreachable = storeDown || storeRefuses.contains(ip);
         if (unreachable && !node.storeLostAt)
@@ -115,6 +126,12 @@
             handleEvent(ip, fleet_update_received { makeDelta(store, node.published.asOf), fleet_source::store });
     }
 
+    [[nodiscard]] bool isSilent(const std::string& ip) const
+    {
+        const auto until = m_silentUntil.find(ip);
+        return until != m_silentUntil.end() && now < until->second;
+    }
+
     void handleEvent(const std::string& ip, const event& received)
     {
         auto& node = nodes.at(ip);
@@ -152,6 +169,7 @@
     }
 
     std::map<std::string, random_generator> m_random;
+    std::map<std::string, state::time_point> m_silentUntil; ///< connections to the store without an answer
     std::vector<std::function<void()>> m_inbox;
 };
 
--- a/tests/coordination/gateway/simulated_hosts_test.cpp
+++ b/tests/coordination/gateway/simulated_hosts_test.cpp
@@ -184,6 +184,25 @@
     }
 }
 
+/// Guards against changes that reach no host in time because the connections of all watchers fall silent at once,
+/// without an error (kierdicht-gw-grown, fresh-8750: version 6 took effect 3.1 to 3.5 s after the store acknowledged
+/// it).
+TEST_F(simulated_hosts_test, Store_ConnectionsOfAllWatchersFallSilent_ChangeReachesEveryHostWithinBound)
+{
+    for (const auto bound : { 2000ms, 2500ms, 3000ms }) {
+        simulated_hosts hosts { 20 };
+        for (auto& [ip, node] : hosts.nodes)
+            node.settings.limits.configApply = bound;
+        hosts.change("s", true);
+        hosts.run(8s);
+        hosts.silenceStoreConnections();
+        hosts.change("t", true);
+        hosts.run(bound);
+        for (const auto& [ip, node] : hosts.nodes)
+            EXPECT_EQ(node.published.asOf, hosts.store.asOf) << ip;
+    }
+}
+
 TEST_F(simulated_hosts_test, Host_Stopping_IsNotCountedByOthers)
 {
     m_hosts.run(3s);
--- a/tests/platform/host_settings_test.cpp
+++ b/tests/platform/host_settings_test.cpp
@@ -34,6 +34,7 @@
     retry-window: "10s"
     retry-slack: 58
     grace: "6s"
+    config-apply: "2500ms"
 )";
 
 class host_settings_test : public testing::Test { };
@@ -51,6 +52,7 @@
     EXPECT_EQ(settings->storeAddress, "10.200.1.7:8642");
     EXPECT_EQ(settings->limits.minRetries, 58);
     EXPECT_EQ(settings->limits.shutdownGrace, 6s);
+    EXPECT_EQ(settings->limits.configApply, 2500ms);
 }
 
 TEST_F(host_settings_test, File_FieldsMissing_AllAreReported)
--- a/tests/platform/item_reader_test.cpp
+++ b/tests/platform/item_reader_test.cpp
@@ -138,5 +138,13 @@
     }
 }
 
+TEST_F(item_reader_test, Entry_NestedVeryDeep_IsRejected)
+{
+    constexpr std::size_t depth = 100000;
+    const auto nested = std::string(depth, '[') + std::string(depth, ']');
+    EXPECT_FALSE(readServerEntry("i-1", nested).ok());
+    EXPECT_FALSE(readConfiguration(nested).ok());
+}
+
 } // namespace
 } // namespace acaciaslip::platform
--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -2,6 +2,9 @@
 
 #include "transport/loop/loop_fixture.hpp"
 
+#include <functional>
+#include <memory>
+
 #include <fmt/format.h>
 
 namespace acaciaslip::platform {
@@ -19,7 +22,7 @@
     }
     ~store_client_test() override
     {
-        m_client.stop();
+        m_client->stop();
         runFor(1ms);
     }
 
@@ -29,11 +32,13 @@
             return;
         m_requests.push_back(end.received.substr(0, end.received.find(" HTTP/")));
         end.received.clear();
-        if (m_isUnresponsive || m_requests.back().find("kv-watch") != std::string::npos)
+        const bool isWatch = m_requests.back().find("kv-watch") != std::string::npos;
+        const auto body = isWatch ? m_watchAnswer() : m_listAnswer();
+        if (m_isUnresponsive || body.empty())
             return;
-        const std::string body = R"({"as-of":7,"items":[],"has-more":false})";
         m_stream = end.stream;
-        m_unsent = fmt::format("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{}", body.size(), body);
+        m_unsent = fmt::format(
+            "HTTP/1.1 {}\r\nContent-Length: {}\r\n\r\n{}", isWatch ? m_watchStatus : "200 OK", body.size(), body);
         sendFragment();
     }
 
@@ -52,6 +57,17 @@
             [&](const std::string& request) { return request.find(text) != std::string::npos; }));
     }
 
+    /// Number of calls that the client makes within a time.
+    [[nodiscard]] std::size_t countCallsWithin(state::duration span)
+    {
+        m_client->start();
+        runFor(span);
+        return m_requests.size();
+    }
+
+    std::function<std::string()> m_listAnswer = [] { return R"({"as-of":7,"items":[],"has-more":false})"; };
+    std::function<std::string()> m_watchAnswer = [] { return std::string(); }; ///< empty: no answer
+    std::string m_watchStatus = "200 OK";
     transport::loop::loop_test_server m_server { &m_loop };
     transport::loop::timer m_fragmentTimer { &m_loop, [this] { sendFragment(); } };
     std::shared_ptr<transport::loop::tcp_stream> m_stream;
@@ -62,17 +78,17 @@
     bool m_isUnresponsive = false;
     int m_published = 0;
     int m_lost = 0;
-    store_client m_client { &m_loop, m_server.address(),
-        [this](const gateway::event& event) {
-            m_published += std::holds_alternative<gateway::fleet_update_received>(event) ? 1 : 0;
-            m_lost += std::holds_alternative<gateway::store_lost>(event) ? 1 : 0;
-        },
-        [](const coordination::log_event&) {} };
+    store_client::event_sink m_sink = [this](const gateway::event& event) {
+        m_published += std::holds_alternative<gateway::fleet_update_received>(event) ? 1 : 0;
+        m_lost += std::holds_alternative<gateway::store_lost>(event) ? 1 : 0;
+    };
+    std::unique_ptr<store_client> m_client
+        = std::make_unique<store_client>(&m_loop, m_server.address(), m_sink, [](const coordination::log_event&) {});
 };
 
 TEST_F(store_client_test, Listing_Answered_IsPublishedOnceAndFollowedByWatch)
 {
-    m_client.start();
+    m_client->start();
     EXPECT_TRUE(runUntil([this] { return countRequests("kv-watch") == 1; }));
     EXPECT_EQ(countRequests("kv-range"), 2U);
     EXPECT_EQ(m_published, 1);
@@ -82,7 +98,7 @@
 TEST_F(store_client_test, Store_Unresponsive_IsReportedLostAfterTimeoutAndRetried)
 {
     m_isUnresponsive = true;
-    m_client.start();
+    m_client->start();
     EXPECT_TRUE(runUntil([this] { return m_lost == 1; }, 2s));
     EXPECT_TRUE(runUntil([this] { return countRequests("kv-range") == 2; }, 2s));
 }
@@ -92,9 +108,119 @@
 {
     m_fragmentBytes = 50;
     m_fragmentInterval = 1h;
-    m_client.start();
+    m_client->start();
     EXPECT_TRUE(runUntil([this] { return m_lost == 1; }, 2s));
 }
 
+/// An answer may be lost without an error on the connection, so the next watch must not wait longer than a change may
+/// take. The second watch is answered, as the store has the change.
+TEST_F(store_client_test, Watch_AnswerLost_ChangeIsReadWithinMaxSilence)
+{
+    constexpr auto maxSilence = 1300ms;
+    m_client->setMaxSilence(maxSilence);
+    m_watchAnswer
+        = [this] { return countRequests("kv-watch") == 1 ? std::string() : std::string(R"({"as-of":9,"events":[]})"); };
+    m_client->start();
+    EXPECT_TRUE(runUntil([this] { return m_published == 1; }));
+    EXPECT_TRUE(runUntil([this] { return m_published == 2; }, maxSilence + 200ms));
+}
+
+/// The first of these ended the process: the field was read as a boolean without a check of its type.
+TEST_F(store_client_test, ListAnswer_Malformed_CountsAsStoreLostAndIsRepeatedWithBackoff)
+{
+    for (const auto* body : { R"({"as-of":5,"has-more":"yes","items":[]})",
+             R"({"as-of":5,"has-more":true,"items":[{"key":3}]})", R"({"as-of":5,"has-more":true,"items":[]})",
+             R"({"as-of":5,"has-more":true,"items":{"key":"a"}})", R"({"as-of":-5,"items":[]})",
+             R"({"as-of":5,"items":7})", R"([])", "x", "{\"as-of\":5,\"items\":[\"\xff\"]}" }) {
+        m_requests.clear();
+        m_lost = 0;
+        m_listAnswer = [body] { return std::string(body); };
+        EXPECT_LE(countCallsWithin(500ms), 8U) << body;
+        EXPECT_EQ(m_lost, 1) << body;
+        EXPECT_EQ(m_published, 0) << body;
+        // Leave the state of a lost store before the next case.
+        m_listAnswer = [] { return std::string(R"({"as-of":1,"items":[]})"); };
+        EXPECT_TRUE(runUntil([this] { return m_published == 1; })) << body;
+        m_published = 0;
+        m_client->stop();
+        m_client = std::make_unique<store_client>(
+            &m_loop, m_server.address(), m_sink, [](const coordination::log_event&) {});
+    }
+}
+
+/// A watch that was repeated at once made 227,000 calls in 3 s.
+TEST_F(store_client_test, Watch_AnsweredAtOnceWithNothingNew_IsPaced)
+{
+    m_watchAnswer = [] { return std::string(R"({"as-of":7,"events":[]})"); };
+    EXPECT_LE(countCallsWithin(2s), 12U);
+    EXPECT_GE(m_client->uselessAnswers(), 2U);
+}
+
+TEST_F(store_client_test, Watch_AnsweredAtOnceWithUnreadableEvents_IsPaced)
+{
+    m_watchAnswer = [] { return std::string(R"({"as-of":7,"events":[1,{},{"key":2}]})"); };
+    EXPECT_LE(countCallsWithin(2s), 12U);
+}
+
+TEST_F(store_client_test, Watch_AnsweredAtOnceWithNewRevisions_IsPaced)
+{
+    m_watchAnswer = [this] { return fmt::format(R"({{"as-of":{},"events":[]}})", 8 + m_requests.size()); };
+    EXPECT_LE(countCallsWithin(2s), 12U);
+}
+
+TEST_F(store_client_test, Watch_HistoryAlwaysGone_ListingsArePaced)
+{
+    m_watchAnswer = [] { return std::string("{}"); };
+    m_watchStatus = "410 Gone";
+    EXPECT_LE(countCallsWithin(2s), 30U);
+}
+
+TEST_F(store_client_test, Listing_PagesDoNotAdvance_CountsAsStoreLost)
+{
+    m_listAnswer = [] { return std::string(R"({"as-of":5,"has-more":true,"items":[{"key":"op/a"}]})"); };
+    EXPECT_LE(countCallsWithin(500ms), 9U);
+    EXPECT_EQ(m_lost, 1);
+    EXPECT_EQ(m_published, 0);
+}
+
+TEST_F(store_client_test, Listing_WithoutEnd_IsGivenUp)
+{
+    m_listAnswer = [this] {
+        std::string items = R"({"key":"a"})";
+        for (int item = 0; item < 999; ++item)
+            items += R"(,{"key":"a"})";
+        return fmt::format(
+            R"({{"as-of":5,"has-more":true,"items":[{},{{"key":"op/{:06}"}}]}})", items, m_requests.size());
+    };
+    m_client->start();
+    EXPECT_TRUE(runUntil([this] { return m_lost == 1; }));
+    EXPECT_LE(m_requests.size(), 70U);
+}
+
+/// A key is stored by other writers and may contain any character.
+TEST_F(store_client_test, Listing_LastKeyHasSpecialCharacters_NextPageIsRequestedWithEncodedKey)
+{
+    m_listAnswer = [this] {
+        return m_requests.size() > 1
+            ? std::string(R"({"as-of":5,"items":[]})")
+            : std::string(R"({"as-of":5,"has-more":true,"items":[{"key":"op/a b&c\r\nX: y"}]})");
+    };
+    m_client->start();
+    EXPECT_TRUE(runUntil([this] { return m_published == 1; }));
+    EXPECT_EQ(countRequests("&after=op/a%20b%26c%0D%0AX%3A%20y"), 1U);
+}
+
+TEST_F(store_client_test, Listing_ManyItemsUnreadable_OneLineIsLogged)
+{
+    m_listAnswer = [] { return std::string(R"({"as-of":5,"items":[1,2,3,{"key":"op/config","revision":"x"}]})"); };
+    int lines = 0;
+    store_client client(&m_loop, m_server.address(), m_sink, [&](const coordination::log_event&) { ++lines; });
+    client.start();
+    EXPECT_TRUE(runUntil([this] { return m_published == 1; }));
+    EXPECT_EQ(lines, 2); // one for each of the two prefixes
+    client.stop();
+    runFor(1ms);
+}
+
 } // namespace
 } // namespace acaciaslip::platform
