Bound the memory and time that any caller or server can take

Cause: requests and answers were held whole with no limit over all connections: one server whose answers do not end took a process to 502 MB, ten uploads of 60 MB to 591 MB, where hosts have 160 to 512 MB. Trailers, interim answers and answers to other requests had no bound but the request's timeout. A name that is not UTF-8, received from a peer, ended the process when the dump was written. Change: memory_budget, a dynamic threshold over all messages of a process, from memory-mb of the settings. A message's share lasts until its last byte is handed to the kernel. Requests that do not fit are refused as not run with Retry-After, before their body if they declare its length. 16 KiB of trailers, 16 skipped answers in an exchange, 64 KiB of body for a probe. Missing: larger messages are refused or given up, not streamed; acaciaslip serve has no budget yet.

--- a/src/platform/gateway.cpp
+++ b/src/platform/gateway.cpp
@@ -54,6 +54,7 @@
         settings.node.seeds = withoutPorts(host.seedAddresses);
         settings.peerPort = host.firstInternalPort;
     }
+    settings.memoryBytes = host.memoryBytes;
     settings.node.incarnation = transport::loop::unixNow().count();
     settings.format = makeHttpFormat();
     settings.callers = host.callerAddress;
--- a/src/platform/host_settings.cpp
+++ b/src/platform/host_settings.cpp
@@ -2,6 +2,7 @@
 
 #include "platform/duration_parser.hpp"
 
+#include <algorithm>
 #include <fstream>
 #include <sstream>
 
@@ -12,6 +13,9 @@
 
 namespace {
 
+constexpr double bytesPerMegabyte = 1048576;
+constexpr double maxMemoryMegabytes = 1048576; ///< 1 TiB; avoids an overflow
+
 std::string formatPosition(const std::string& file, const YAML::Mark& mark)
 {
     return mark.is_null() ? file : fmt::format("{}:{}:{}", file, mark.line + 1, mark.column + 1);
@@ -126,6 +130,10 @@
     settings.storeAddress = fields.requiredText("platform.platform.address");
     const auto ports = fields.readList("network.internal-ports");
     settings.firstInternalPort = ports.empty() ? 0 : std::atoi(ports.front().c_str()); // NOLINT(cert-err34-c)
+    double memory = 0; // MiB
+    fields.parseUnsigned("self.limits.memory-mb", memory);
+    if (memory > 0)
+        settings.memoryBytes = static_cast<std::uint64_t>(std::min(memory, maxMemoryMegabytes) * bytesPerMegabyte);
     readBounds(fields, settings.limits);
     return settings;
 }
--- a/src/platform/host_settings.hpp
+++ b/src/platform/host_settings.hpp
@@ -4,6 +4,7 @@
 #include "state/identifiers.hpp"
 #include "state/time.hpp"
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -22,6 +23,7 @@
     int firstInternalPort = 0; ///< first of the ports reserved for traffic between hosts; 0 if there are none
     std::vector<std::string> seedAddresses; ///< operators' addresses of some hosts; some of them may be down
     std::string storeAddress; ///< "ip:port" of the platform's store
+    std::uint64_t memoryBytes = 167772160; ///< memory that the process may use; the default suits small hosts
     coordination::gateway::fleet_limits limits;
 };
 
--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -157,7 +157,7 @@
     }
     ++m_calls;
     m_timeout.start(timeout);
-    m_connection->send(fmt::format("GET {} HTTP/1.1\r\nHost: {}\r\n\r\n", target, m_address), false);
+    m_connection->send(fmt::format("GET {} HTTP/1.1\r\nHost: {}\r\n\r\n", target, m_address));
 }
 
 void store_client::handleResponse(const protocol::http::message& answer)
--- a/src/protocol/gateway_dump.cpp
+++ b/src/protocol/gateway_dump.cpp
@@ -70,4 +70,13 @@
     return described;
 }
 
+std::string writeGatewayDump(
+    const coordination::gateway::gateway_node& node, const coordination::memory_budget& memory, state::time_point now)
+{
+    auto described = gatewayToJson(node, now);
+    described["messages"] = { { "bytes", memory.heldBytes }, { "peak_bytes", memory.peakBytes },
+        { "limit_bytes", memory.limitBytes }, { "without_memory", memory.rejections } };
+    return described.dump(-1, ' ', false, json::error_handler_t::replace) + "\n";
+}
+
 } // namespace acaciaslip::protocol
--- a/src/protocol/http/body_reader.cpp
+++ b/src/protocol/http/body_reader.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr std::size_t maxLineBytes = 256;
+constexpr std::size_t maxTrailerBytes = 16384;
 constexpr std::size_t maxSizeDigits = 15;
 constexpr std::size_t maxReservedBytes = 65536; ///< limit on memory reserved from a declared length alone
 constexpr int hexadecimal = 16;
@@ -85,7 +86,10 @@
         m_stage = stage::chunk_size;
         return parse_status::incomplete;
     default: // trailers are parsed and discarded
+        m_trailerBytes += m_line.size();
         m_line.clear();
+        if (m_trailerBytes > maxTrailerBytes)
+            return parse_status::malformed;
         if (!isEmpty)
             return parse_status::incomplete;
         m_stage = stage::complete;
--- a/src/protocol/http/body_reader.hpp
+++ b/src/protocol/http/body_reader.hpp
@@ -2,6 +2,7 @@
 
 #include "protocol/http/head_reader.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -38,6 +39,7 @@
     std::uint64_t m_maxBytes = 0;
     std::string m_line; ///< received part of a chunk-size line or a trailer
     std::string m_content;
+    std::size_t m_trailerBytes = 0;
 };
 
 } // namespace acaciaslip::protocol::http
--- a/src/protocol/http/message.hpp
+++ b/src/protocol/http/message.hpp
@@ -1,6 +1,9 @@
 #pragma once
 
+#include "coordination/memory_budget.hpp"
+
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -26,6 +29,9 @@
     bool keepAlive = true; ///< the connection can be used for another message
     bool closeDelimited = false; ///< the body is delimited by the end of the connection
     bool expectsContinue = false; ///< the sender waits for status 100 before sending the body
+    /// The message's share of the memory budget; null without a budget. Whoever copies the body holds it until the copy
+    /// has been passed on.
+    std::shared_ptr<coordination::memory_reservation> memory;
 };
 
 /// Compares header names case-insensitively.
--- a/src/protocol/http/message_parser.cpp
+++ b/src/protocol/http/message_parser.cpp
@@ -35,6 +35,8 @@
     }
     if (m_stage == stage::body) {
         const auto progress = m_body.consume(input);
+        if (!reserveMemory())
+            return parse_status::no_memory;
         if (progress != parse_status::complete)
             return progress;
         m_stage = stage::complete;
@@ -58,17 +60,31 @@
     }
     m_head.resize(end + headEnd.size());
     input.remove_prefix(m_head.size() - before);
-    auto read = m_side == message_side::requests ? readRequestHead(m_head, m_limits)
-                                                 : readAnswerHead(m_head, m_expectNoBody, m_limits);
+    auto limits = m_limits;
+    limits.bodyBytes = std::min(limits.bodyBytes, m_maxNextBody);
+    auto read = m_side == message_side::requests ? readRequestHead(m_head, limits)
+                                                 : readAnswerHead(m_head, m_expectNoBody, limits);
     if (const auto* error = std::get_if<parse_status>(&read))
         return *error;
     auto& head = std::get<message_head>(read);
     m_current = std::move(head.partialMessage);
-    m_body = body_reader(head.framing, head.bodyLength, m_limits.bodyBytes);
+    m_body = body_reader(head.framing, head.bodyLength, limits.bodyBytes);
+    m_declaredLength = head.bodyLength;
     m_stage = stage::body;
     return parse_status::complete;
 }
 
+/// Adjusts the reservation of the current message to its declared or received size.
+bool message_parser::reserveMemory()
+{
+    if (!m_budget)
+        return true;
+    if (!m_current.memory)
+        m_current.memory = std::make_shared<coordination::memory_reservation>(m_budget);
+    const std::uint64_t body = std::max<std::uint64_t>(m_declaredLength, m_body.content().size());
+    return m_current.memory->resize(m_head.size() + body);
+}
+
 parse_status message_parser::finish()
 {
     if (!hasPartialMessage())
@@ -98,8 +114,12 @@
     m_current.body = std::move(m_body.content());
     m_stage = stage::head;
     m_head.clear();
+    m_declaredLength = 0;
     // After an interim response, the flag still applies to the final response that follows it.
-    m_expectNoBody &= m_current.status != 0 && m_current.status < firstFinalStatus;
+    const bool isInterim = m_current.status != 0 && m_current.status < firstFinalStatus;
+    m_expectNoBody &= isInterim;
+    if (!isInterim)
+        m_maxNextBody = UINT64_MAX;
     return std::exchange(m_current, {});
 }
 
--- a/src/protocol/http/message_parser.hpp
+++ b/src/protocol/http/message_parser.hpp
@@ -5,8 +5,11 @@
 #include "protocol/http/message.hpp"
 #include "protocol/http/parsing.hpp"
 
+#include <cstdint>
+#include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace acaciaslip::protocol::http {
 
@@ -31,6 +34,13 @@
     /// truncated
     [[nodiscard]] parse_status finish();
 
+    /// Counts the messages from now on against a budget. A message that does not fit ends with `no_memory`; with a
+    /// declared length this happens before its body is read.
+    void useBudget(std::shared_ptr<coordination::memory_budget> budget) noexcept { m_budget = std::move(budget); }
+
+    /// Limits the body of the next message to fewer bytes than the limits given at construction.
+    void limitNextBody(std::uint64_t bytes) noexcept { m_maxNextBody = bytes; }
+
     /// Declares that the next response is to a HEAD request and has no body.
     void expectNoBody() noexcept;
 
@@ -48,6 +58,7 @@
     enum class stage { head, body, complete };
 
     [[nodiscard]] parse_status takeHead(std::string_view& input);
+    [[nodiscard]] bool reserveMemory();
 
     message_side m_side;
     message_limits m_limits;
@@ -56,6 +67,9 @@
     std::string m_head; ///< received part of the head; kept until takeMessage()
     message m_current;
     body_reader m_body;
+    std::uint64_t m_declaredLength = 0; ///< of the current message's body; 0 if it is not declared
+    std::uint64_t m_maxNextBody = UINT64_MAX;
+    std::shared_ptr<coordination::memory_budget> m_budget;
 };
 
 } // namespace acaciaslip::protocol::http
--- a/src/protocol/http/parsing.hpp
+++ b/src/protocol/http/parsing.hpp
@@ -22,6 +22,7 @@
     body_too_large,
     target_too_long,
     unknown_version, ///< HTTP version that is not supported
+    no_memory, ///< the process's memory for messages in hand is in use
 };
 
 } // namespace acaciaslip::protocol::http
--- a/src/transport/loop/attempt_connections.cpp
+++ b/src/transport/loop/attempt_connections.cpp
@@ -58,8 +58,8 @@
     connection->deadline->start(attempt.deadline - now);
     m_inFlight[attempt.id] = connection;
     const auto& request = static_cast<const protocol::http_payload&>(*attempt.body).httpMessage;
-    connection->http->send(
-        protocol::writeAttempt(request, connection->attemptId, attempt.deadline - now), request.method == "HEAD");
+    connection->http->send(protocol::writeAttempt(request, connection->attemptId, attempt.deadline - now),
+        { request.method == "HEAD", UINT64_MAX, {} });
 }
 
 attempt_connections::connection_pointer attempt_connections::acquireConnection(
--- a/src/transport/loop/caller_connection.cpp
+++ b/src/transport/loop/caller_connection.cpp
@@ -19,6 +19,7 @@
 constexpr int statusBodyTooLarge = 413;
 constexpr int statusTargetTooLong = 414;
 constexpr int statusHeadersTooLarge = 431;
+constexpr int statusUnavailable = 503;
 constexpr int statusVersionNotSupported = 505;
 constexpr std::string_view continueAnswer = "HTTP/1.1 100 Continue\r\n\r\n";
 
@@ -30,12 +31,13 @@
     std::string_view reason;
 };
 
-constexpr std::array<parse_problem, 5> problems { {
+constexpr std::array<parse_problem, 6> problems { {
     { parse_status::malformed, statusBadRequest, "malformed request" },
     { parse_status::head_too_large, statusHeadersTooLarge, "headers too large" },
     { parse_status::body_too_large, statusBodyTooLarge, "body too large" },
     { parse_status::target_too_long, statusTargetTooLong, "target too long" },
     { parse_status::unknown_version, statusVersionNotSupported, "unknown HTTP version" },
+    { parse_status::no_memory, statusUnavailable, "no memory for the request" },
 } };
 
 const parse_problem& describe(parse_status progress) noexcept
@@ -123,7 +125,7 @@
     auto request = m_parser.takeMessage();
     const auto id = m_callbacks.nextRequestId();
     m_requestStartedAt.reset();
-    m_exchanges.push_back({ id, std::nullopt, !request.keepAlive, request.isHttp11 });
+    m_exchanges.push_back({ id, std::nullopt, !request.keepAlive, request.isHttp11, {} });
     m_stoppedReading |= !request.keepAlive;
     m_callbacks.requestReceived(id, std::move(request)); // may call answer() before returning
 }
@@ -180,7 +182,7 @@
     finish();
 }
 
-void caller_connection::answer(state::request_id id, std::string bytes, bool close)
+void caller_connection::answer(state::request_id id, std::string bytes, bool close, std::shared_ptr<const void> held)
 {
     const auto found
         = std::find_if(m_exchanges.begin(), m_exchanges.end(), [&](const exchange& known) { return known.id == id; });
@@ -188,6 +190,7 @@
         return;
     const auto self = shared_from_this();
     found->answer = std::move(bytes);
+    found->held = std::move(held);
     found->closes |= close;
     flush();
 }
@@ -195,7 +198,7 @@
 void caller_connection::flush()
 {
     while (!m_exchanges.empty() && m_exchanges.front().answer) {
-        m_stream->write(std::move(*m_exchanges.front().answer));
+        m_stream->write(std::move(*m_exchanges.front().answer), std::move(m_exchanges.front().held));
         const bool closes = m_exchanges.front().closes;
         m_exchanges.pop_front();
         if (closes)
--- a/src/transport/loop/caller_connection.hpp
+++ b/src/transport/loop/caller_connection.hpp
@@ -49,7 +49,11 @@
     /// Sends the answer to a request, after the answers to earlier requests.
     /// \param bytes the complete encoded answer
     /// \param close whether to close the connection after this answer without reading further requests
-    void answer(state::request_id id, std::string bytes, bool close);
+    /// \param held kept until the answer has been written; see `tcp_stream::write`
+    void answer(state::request_id id, std::string bytes, bool close, std::shared_ptr<const void> held = {});
+
+    /// Counts the requests from now on against a budget. One that does not fit is refused with status 503.
+    void useBudget(std::shared_ptr<coordination::memory_budget> budget) { m_parser.useBudget(std::move(budget)); }
 
     /// Closes the connection once no request is in progress or partially read.
     /// \param minIdleTime minimum idle time before closing, since a request may already be in transit
@@ -73,6 +77,7 @@
         std::optional<std::string> answer;
         bool closes = false; ///< close after this answer, as requested by the caller or by this process
         bool isHttp11 = true;
+        std::shared_ptr<const void> held; ///< kept until the answer has been written
     };
 
     explicit caller_connection(connection_limits limits, caller_connection_callbacks callbacks);
--- a/src/transport/loop/caller_listener.cpp
+++ b/src/transport/loop/caller_listener.cpp
@@ -40,6 +40,7 @@
     const auto connection = caller_connection::accept(listener, m_limits, std::move(callbacks));
     if (!connection)
         return;
+    connection->useBudget(m_budget);
     ++m_accepted;
     *holder = connection;
     m_connections.insert(connection);
--- a/src/transport/loop/caller_listener.hpp
+++ b/src/transport/loop/caller_listener.hpp
@@ -36,6 +36,9 @@
     /// Sets the maximum number of open connections; further ones are answered with status 503 and closed.
     void setMaxConnections(std::size_t limit) noexcept { m_maxConnections = limit; }
 
+    /// Counts the requests of new connections against a budget.
+    void useBudget(std::shared_ptr<coordination::memory_budget> budget) { m_budget = std::move(budget); }
+
     [[nodiscard]] std::size_t openConnections() const noexcept { return m_connections.size(); }
     [[nodiscard]] std::uint64_t acceptedConnections() const noexcept
     {
@@ -61,6 +64,7 @@
     tcp_listener m_listener;
     connection_limits m_limits;
     std::size_t m_maxConnections = SIZE_MAX;
+    std::shared_ptr<coordination::memory_budget> m_budget;
     std::unordered_set<std::shared_ptr<caller_connection>> m_connections;
     std::uint64_t m_nextRequestId = 1;
     std::uint64_t m_accepted = 0;
--- a/src/transport/loop/caller_server.cpp
+++ b/src/transport/loop/caller_server.cpp
@@ -13,6 +13,7 @@
 constexpr int statusBadGateway = 502;
 constexpr int statusUnavailable = 503;
 constexpr int statusGatewayTimeout = 504;
+constexpr std::string_view memoryRetryAfter = "1.000"; ///< seconds; large messages are held for about that long
 
 std::optional<state::duration> parseTimeout(std::optional<std::string_view> text)
 {
@@ -30,6 +31,17 @@
     return host.substr(0, host.rfind(':'));
 }
 
+/// Returns the answer to bytes that are no request, or to a request that there is no memory for.
+std::string writeRefusal(int status)
+{
+    protocol::http::message refusal;
+    refusal.status = status;
+    refusal.reason = protocol::http::reasonPhrase(status);
+    if (status == statusUnavailable)
+        refusal.headers.push_back({ "Retry-After", std::string(memoryRetryAfter) });
+    return protocol::writeCallerAnswer(refusal, false, false);
+}
+
 /// Status 503 tells the caller that the request was not executed, so it is used only with the verdict `not_run`.
 int statusFor(const coordination::gateway::refuse_caller& refusal) noexcept
 {
@@ -51,7 +63,7 @@
                   if (m_requests.erase(static_cast<std::uint64_t>(id)) > 0)
                       m_sink(coordination::gateway::caller_disconnected { id });
               },
-              {} })
+              [](int status, std::string_view /*reason*/) { return writeRefusal(status); } })
 {
 }
 
@@ -85,7 +97,7 @@
     if (request == nullptr)
         return;
     const bool close = effect.closeConnection || !request->keepAlive || answer.closeDelimited;
-    finish(effect.id, protocol::writeCallerAnswer(answer, request->method == "HEAD", !close), close);
+    finish(effect.id, protocol::writeCallerAnswer(answer, request->method == "HEAD", !close), close, answer.memory);
 }
 
 void caller_server::refuse(const coordination::gateway::refuse_caller& effect)
@@ -105,13 +117,13 @@
     finish(effect.id, protocol::writeCallerAnswer(refusal, request->method == "HEAD", !close), close);
 }
 
-void caller_server::finish(state::request_id id, std::string bytes, bool close)
+void caller_server::finish(state::request_id id, std::string bytes, bool close, std::shared_ptr<const void> held)
 {
     const auto found = m_requests.find(static_cast<std::uint64_t>(id));
     const auto connection = found->second.connection.lock();
     m_requests.erase(found);
     if (connection)
-        connection->answer(id, std::move(bytes), close);
+        connection->answer(id, std::move(bytes), close, std::move(held));
 }
 
 void caller_server::drain()
--- a/src/transport/loop/caller_server.hpp
+++ b/src/transport/loop/caller_server.hpp
@@ -26,6 +26,9 @@
     /// Sets the limits of new connections; open connections keep theirs.
     void setLimits(const connection_limits& limits) { m_listener.setLimits(limits); }
 
+    /// Counts the requests of new connections against a budget.
+    void useBudget(std::shared_ptr<coordination::memory_budget> budget) { m_listener.useBudget(std::move(budget)); }
+
     /// Returns the request as received from the caller, or null if the caller has disconnected.
     [[nodiscard]] const protocol::http::message* findRequest(state::request_id id) const;
 
@@ -51,7 +54,7 @@
 
     void handleRequest(
         state::request_id id, const std::shared_ptr<caller_connection>& from, protocol::http::message request);
-    void finish(state::request_id id, std::string bytes, bool close);
+    void finish(state::request_id id, std::string bytes, bool close, std::shared_ptr<const void> held = {});
 
     const protocol::server_http_format& m_format;
     event_sink m_sink;
--- a/src/transport/loop/gateway_daemon.cpp
+++ b/src/transport/loop/gateway_daemon.cpp
@@ -54,6 +54,7 @@
     : m_settings(std::move(settings))
     , m_node(coordination::gateway::makeNode(m_settings.node, bootNow()))
     , m_random(makeSeed())
+    , m_memory(std::make_shared<coordination::memory_budget>(coordination::makeMemoryBudget(m_settings.memoryBytes)))
     , m_process(m_settings.lowestLevel)
     , m_queue([this](const auto& happened) { handle(happened); },
           [this] {
@@ -62,6 +63,8 @@
           })
 {
     m_parts = std::make_unique<parts>(*this, m_settings);
+    m_parts->callers.useBudget(m_memory);
+    m_parts->servers.useBudget(m_memory);
 }
 
 gateway_daemon::~gateway_daemon()
@@ -198,11 +201,11 @@
     if (path == "/metrics") {
         const gateway_process_gauges gauges { m_parts->servers.connectionsOpened(), m_process.log().dropped(),
             m_store.calls ? m_store.calls() : 0, m_store.uselessAnswers ? m_store.uselessAnswers() : 0,
-            m_parts->peers.rejected() };
+            m_parts->peers.rejected(), *m_memory };
         return { 200, "text/plain; version=0.0.4", writeGatewayMetrics(m_node, gauges, bootNow()) };
     }
     if (path == "/dump")
-        return { 200, "application/json", protocol::gatewayToJson(m_node, bootNow()).dump() + "\n" };
+        return { statusOk, "application/json", protocol::writeGatewayDump(m_node, *m_memory, bootNow()) };
     if (auto answer = m_fleet.answer(request, m_node.published))
         return std::move(*answer);
     return { statusNotFound, "text/plain", "no such path\n" };
--- a/src/transport/loop/gateway_daemon.hpp
+++ b/src/transport/loop/gateway_daemon.hpp
@@ -30,6 +30,7 @@
     std::string health; ///< "ip:port" of the readiness check of the platform's load balancer
     std::string operators; ///< "ip:port" for metrics, dumps and fleet fetches; the port is the same on all hosts
     int peerPort = 0; ///< UDP port for heartbeats, the same on all hosts; 0 disables them
+    std::uint64_t memoryBytes = 167772160; ///< memory that the process may use in total
     coordination::log_level lowestLevel = coordination::log_level::info;
 };
 
@@ -96,6 +97,7 @@
     gateway_settings m_settings;
     coordination::gateway::gateway_node m_node;
     coordination::random_generator m_random;
+    std::shared_ptr<coordination::memory_budget> m_memory; ///< for requests and answers in hand
     process_loop m_process;
     event_queue<coordination::gateway::event> m_queue;
     coordination::gateway::effect_list m_effects;
--- a/src/transport/loop/gateway_metrics.hpp
+++ b/src/transport/loop/gateway_metrics.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/gateway/node.hpp"
+#include "coordination/memory_budget.hpp"
 
 #include <cstdint>
 #include <string>
@@ -14,6 +15,7 @@
     std::uint64_t storeCalls = 0;
     std::uint64_t storeUselessAnswers = 0; ///< watches answered early with nothing new
     std::uint64_t datagramsRejected = 0;
+    coordination::memory_budget memory;
 };
 
 /// Writes all metrics in the Prometheus text format.
--- a/src/transport/loop/http_connection.cpp
+++ b/src/transport/loop/http_connection.cpp
@@ -8,6 +8,9 @@
 namespace {
 
 constexpr int firstFinalStatus = 200;
+/// Interim answers and answers to other requests in one exchange. A server that sends them without end would otherwise
+/// take the loop's time until the exchange times out.
+constexpr std::uint32_t maxSkippedAnswers = 16;
 
 /// Reads the "timeout=N" parameter of the Keep-Alive header.
 std::optional<state::duration> readKeepAlive(const protocol::http::message& answer)
@@ -54,15 +57,17 @@
     return created;
 }
 
-void http_connection::send(std::string request, bool isHeadRequest)
+void http_connection::send(std::string request, exchange_options options)
 {
     m_busy = true;
-    if (isHeadRequest)
+    m_skippedAnswers = 0;
+    if (options.isHeadRequest)
         m_parser.expectNoBody();
+    m_parser.limitNextBody(options.maxBodyBytes);
     if (m_connected)
-        m_stream->write(std::move(request));
-    else
-        m_unsent = std::move(request);
+        return m_stream->write(std::move(request), std::move(options.held));
+    m_unsent = std::move(request);
+    m_unsentHeld = std::move(options.held);
 }
 
 void http_connection::close()
@@ -81,7 +86,7 @@
         return;
     if (m_callbacks.maySend && !m_callbacks.maySend())
         return fail(connection_failure::not_connected);
-    m_stream->write(std::exchange(m_unsent, {}));
+    m_stream->write(std::exchange(m_unsent, {}), std::exchange(m_unsentHeld, {}));
 }
 
 void http_connection::handleReceived(std::string_view bytes)
@@ -109,11 +114,10 @@
 
 void http_connection::finishAnswer(protocol::http::message answer, bool hasMore)
 {
-    if (answer.status < firstFinalStatus)
-        return;
-    if (!m_callbacks.isExpected(answer)) {
-        if (!answer.keepAlive)
-            fail(connection_failure::truncated);
+    if (answer.status < firstFinalStatus || !m_callbacks.isExpected(answer)) {
+        const bool isLast = answer.status >= firstFinalStatus && !answer.keepAlive;
+        if (isLast || ++m_skippedAnswers > maxSkippedAnswers)
+            fail(isLast ? connection_failure::truncated : connection_failure::malformed);
         return;
     }
     // The exchange is marked as finished before the callback, so that the callback may start the next one.
--- a/src/transport/loop/http_connection.hpp
+++ b/src/transport/loop/http_connection.hpp
@@ -5,6 +5,7 @@
 #include "state/time.hpp"
 #include "transport/loop/tcp_stream.hpp"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -16,7 +17,7 @@
 enum class connection_failure {
     not_connected, ///< no byte was written
     truncated, ///< the connection was closed before the answer was complete
-    malformed, ///< the received bytes are not a valid HTTP answer
+    malformed, ///< the received bytes are not a valid HTTP answer, or it does not end
 };
 
 /// Callbacks from a connection to its owner.
@@ -34,6 +35,13 @@
     std::function<void()> closedWhileIdle; ///< the connection was closed while idle
 };
 
+/// Options of one exchange.
+struct exchange_options {
+    bool isHeadRequest = false; ///< the answer has no body
+    std::uint64_t maxBodyBytes = UINT64_MAX; ///< of the answer, if less than the connection's limit
+    std::shared_ptr<const void> held; ///< kept until the request has been written; see `tcp_stream::write`
+};
+
 /// A keep-alive connection to an HTTP server, for one exchange at a time.
 ///
 /// Bytes received outside an exchange close the connection, so that no answer is matched to the wrong request.
@@ -44,8 +52,10 @@
         protocol::http::message_limits limits, http_connection_callbacks callbacks);
 
     /// Starts an exchange. The request is written once the connection is established.
-    /// \param isHeadRequest whether the request's method is HEAD
-    void send(std::string request, bool isHeadRequest);
+    void send(std::string request, exchange_options options = {});
+
+    /// Counts the answers from now on against a budget.
+    void useBudget(std::shared_ptr<coordination::memory_budget> budget) { m_parser.useBudget(std::move(budget)); }
 
     /// Closes the connection without further callbacks.
     void close();
@@ -74,6 +84,8 @@
     protocol::http::message_parser m_parser;
     http_connection_callbacks m_callbacks;
     std::string m_unsent;
+    std::shared_ptr<const void> m_unsentHeld;
+    std::uint32_t m_skippedAnswers = 0; ///< interim and unexpected answers in the current exchange
     std::optional<state::duration> m_keepAliveTimeout;
     bool m_connected = false;
     bool m_busy = false;
--- a/src/transport/loop/http_fetcher.cpp
+++ b/src/transport/loop/http_fetcher.cpp
@@ -36,7 +36,7 @@
     created->done = std::move(done);
     m_inFlight[number] = created;
     created->timeout->start(timeouts.connect);
-    created->connection->send(std::move(request), false);
+    created->connection->send(std::move(request));
 }
 
 void http_fetcher::handleTimer(std::uint64_t number)
--- a/src/transport/loop/server_connections.cpp
+++ b/src/transport/loop/server_connections.cpp
@@ -9,7 +9,8 @@
 
 namespace {
 
-constexpr protocol::http::message_limits answerLimits { 65536, 33554432 };
+constexpr protocol::http::message_limits answerLimits { 65536, 67108864 };
+constexpr std::uint64_t maxProbeAnswerBytes = 65536; ///< the answer's headers contain all that is used
 /// An idle connection is no longer reused once less than this time is left before the server closes it.
 constexpr state::duration idleCloseMargin = std::chrono::milliseconds { 800 };
 constexpr state::duration probeRetryTimeout = std::chrono::milliseconds { 200 }; ///< for a probe that is sent again
@@ -97,6 +98,7 @@
             closeConnection(connection);
     };
     made->http = http_connection::open(m_loop, *to, answerLimits, std::move(callbacks));
+    made->http->useBudget(m_budget);
     ++m_opened;
     ++m_open[address];
     m_connections[made.get()] = made;
@@ -147,7 +149,7 @@
         connection->probeTimer = makeProbeTimer(connection);
     connection->probeTimer->start(wanted.timeout);
     connection->probeRequest = protocol::writeProbeRequest(wanted.healthPath, wanted.address);
-    connection->http->send(connection->probeRequest, false);
+    connection->http->send(connection->probeRequest, { false, maxProbeAnswerBytes, {} });
 }
 
 /// Sends the probe again over a new connection if a reused one was closed, since that is not a failure of the server.
@@ -161,7 +163,7 @@
     connection->probeRequest = std::move(failed->probeRequest);
     connection->probeTimer = makeProbeTimer(connection);
     connection->probeTimer->start(probeRetryTimeout);
-    connection->http->send(connection->probeRequest, false);
+    connection->http->send(connection->probeRequest, { false, maxProbeAnswerBytes, {} });
     failed->probe.reset();
     closeConnection(failed);
     return true;
@@ -184,7 +186,7 @@
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(wanted.timeRemaining).count();
     connection->http->send(
         protocol::writeServerRequest(m_format, *request, wanted.server, std::max<std::int64_t>(left, 1)),
-        request->method == "HEAD");
+        { request->method == "HEAD", UINT64_MAX, request->memory });
 }
 
 void server_connections::cancel(state::attempt_id attempt)
--- a/src/transport/loop/server_connections.hpp
+++ b/src/transport/loop/server_connections.hpp
@@ -25,6 +25,9 @@
     server_connections(
         uv_loop_t* loop, const protocol::server_http_format& format, event_sink sink, request_source requests);
 
+    /// Counts the answers on new connections against a budget. An attempt whose answer does not fit fails.
+    void useBudget(std::shared_ptr<coordination::memory_budget> budget) { m_budget = std::move(budget); }
+
     /// Probes a server, unless that would exceed the number of connections that this node may hold to it.
     void probe(const coordination::gateway::probe_server& wanted);
     /// Sends a request. Opens a connection beyond the limit if none is idle, because the server has already been chosen
@@ -67,6 +70,7 @@
     std::unordered_map<std::string, std::size_t> m_open; ///< number of connections by address, idle and in use
     std::unordered_map<std::uint64_t, connection_pointer> m_attempts; ///< by attempt id
     std::unordered_map<std::uint64_t, protocol::http::message> m_answers; ///< by attempt id
+    std::shared_ptr<coordination::memory_budget> m_budget;
     std::uint64_t m_opened = 0;
 };
 
--- a/src/transport/loop/tcp_stream.cpp
+++ b/src/transport/loop/tcp_stream.cpp
@@ -52,6 +52,7 @@
 struct tcp_stream::write_request {
     uv_write_t request {};
     std::string bytes;
+    std::shared_ptr<const void> held;
 };
 
 absl::StatusOr<sockaddr_in> parseAddress(const std::string& text)
@@ -177,7 +178,7 @@
         uv_read_stop(reinterpret_cast<uv_stream_t*>(m_handle));
 }
 
-void tcp_stream::write(std::string bytes)
+void tcp_stream::write(std::string bytes, std::shared_ptr<const void> held)
 {
     if (m_closed || bytes.empty())
         return;
@@ -190,7 +191,7 @@
         if (written > 0)
             bytes.erase(0, static_cast<std::size_t>(written));
     }
-    auto* const pending = new write_request { {}, std::move(bytes) };
+    auto* const pending = new write_request { {}, std::move(bytes), std::move(held) };
     m_unwritten += pending->bytes.size();
     pending->request.data = pending;
     const auto buffer = uv_buf_init(pending->bytes.data(), static_cast<unsigned int>(pending->bytes.size()));
--- a/src/transport/loop/tcp_stream.hpp
+++ b/src/transport/loop/tcp_stream.hpp
@@ -51,7 +51,8 @@
     void stopReading();
 
     /// Writes bytes, in the order of the calls. Does nothing on a closed stream.
-    void write(std::string bytes);
+    /// \param held kept until the bytes have been handed to the kernel or dropped, such as their share of a budget
+    void write(std::string bytes, std::shared_ptr<const void> held = {});
 
     /// Shuts down the sending side after all pending writes and closes the connection once the peer has closed its side
     /// or 1 second has passed. After that shutdown only the given callback is called.
--- a/tests/platform/host_settings_test.cpp
+++ b/tests/platform/host_settings_test.cpp
@@ -13,6 +13,8 @@
   node-name: "front-midden-a-1"
   ip: "10.1.0.15"
   zone: "midden-a"
+  limits:
+    memory-mb: 260
 network:
   listen:
     front: "10.1.0.15:8641"
@@ -48,6 +50,7 @@
     EXPECT_EQ(settings->healthAddress, "10.1.0.15:8640");
     EXPECT_EQ(settings->operatorAddress, "10.1.0.15:8649");
     EXPECT_EQ(settings->firstInternalPort, 7620);
+    EXPECT_EQ(settings->memoryBytes, 260U * 1048576);
     EXPECT_EQ(settings->seedAddresses.size(), 2U);
     EXPECT_EQ(settings->storeAddress, "10.200.1.7:8642");
     EXPECT_EQ(settings->limits.minRetries, 58);
@@ -70,7 +73,7 @@
     text.replace(text.find("\"6s\""), 4, "soon");
     const auto settings = readHostSettings(text, "boot.yaml");
     const std::string message(settings.status().message());
-    EXPECT_NE(message.find("boot.yaml:25:12: terms.bounds.grace"), std::string::npos) << message;
+    EXPECT_NE(message.find("boot.yaml:27:12: terms.bounds.grace"), std::string::npos) << message;
 }
 
 TEST_F(host_settings_test, File_NotYaml_IsRejected)
--- a/tests/transport/loop/gateway_daemon_test.cpp
+++ b/tests/transport/loop/gateway_daemon_test.cpp
@@ -106,6 +106,18 @@
     EXPECT_TRUE(runUntil([&] { return dump->received.find("\"path_prefix\":\"/\"") != std::string::npos; }));
 }
 
+/// A peer can send any bytes as a name; writing them as JSON ended the process.
+TEST_F(gateway_daemon_test, Dump_NamesAreNotUtf8_IsServed)
+{
+    state::gateway::fleet_delta delta { true, 0, {} };
+    delta.changes.asOf = 3;
+    delta.changes.servers["s\xff"]
+        = { 2, state::gateway::server_entry { "s\xff", "a\xfe", "127.0.0.1:1", "dc\xc3", 4, false, {}, 1 } };
+    m_daemon.post(gateway::fleet_update_received { delta, gateway::fleet_source::peer });
+    const auto dump = connectAndSend(m_daemon.operatorsPort(), "GET /dump HTTP/1.1\r\n\r\n");
+    EXPECT_TRUE(runUntil([&] { return dump->received.find("\"limit_bytes\"") != std::string::npos; }));
+}
+
 TEST_F(gateway_daemon_test, FleetPath_FetchedByPeer_ReturnsPublishedFleet)
 {
     publish();
--- a/tests/transport/loop/http_connection_test.cpp
+++ b/tests/transport/loop/http_connection_test.cpp
@@ -29,7 +29,7 @@
     bool exchange()
     {
         open();
-        m_connection->send(requestBytes, false);
+        m_connection->send(requestBytes);
         return runUntil([this] { return !m_answers.empty() || !m_failures.empty(); });
     }
 
@@ -106,7 +106,7 @@
     http_connection_callbacks callbacks;
     callbacks.failed = [this](connection_failure reason) { m_failures.push_back(reason); };
     const auto connection = http_connection::open(&m_loop, *parseAddress("127.0.0.1:1"), {}, std::move(callbacks));
-    connection->send(requestBytes, false);
+    connection->send(requestBytes);
     ASSERT_TRUE(runUntil([this] { return !m_failures.empty(); }));
     EXPECT_EQ(m_failures.at(0), connection_failure::not_connected);
 }
