Delay a host's first watch of the store, and bound the log lines about peers

The same hosts wrote 144,380 lines in their first 18 s, one for each pair of hosts. Change: the first watch begins 1.5 s after the first listing, well within the stable-window in which a new host is not yet bound by the deadlines of changes; peers send it changes meanwhile.

--- a/src/coordination/gateway/membership.cpp
+++ b/src/coordination/gateway/membership.cpp
@@ -2,6 +2,7 @@
 
 #include "coordination/gateway/fleet_relay.hpp"
 #include "coordination/gateway/fleet_view.hpp"
+#include "coordination/gateway/peer_log.hpp"
 #include "coordination/gateway/store_watch.hpp"
 
 #include <algorithm>
@@ -53,13 +54,14 @@
 
 void removeTimedOutPeers(gateway_node& self, state::time_point now, effect_list& effects)
 {
+    std::vector<std::pair<peer_ip, state::data_centre_id>> lost;
     std::erase_if(self.peers, [&](const auto& entry) {
         const bool timedOut = now - entry.second.lastSeenAt >= peerTimeout;
         if (timedOut)
-            effects.emplace_back(log_event { log_level::info, "peer",
-                { { "ip", entry.first }, { "what", "silent" }, { "data_centre", entry.second.dataCentre } } });
+            lost.emplace_back(entry.first, entry.second.dataCentre);
         return timedOut;
     });
+    logLostPeers(lost, effects);
 }
 
 void countHosts(gateway_node& self, state::time_point now)
@@ -158,10 +160,6 @@
         return; // a host may send heartbeats only for itself
     recordPeer(self, message.sender, message.dataCentre, now);
     auto& peer = self.peers[message.sender];
-    if (!peer.receivedAt)
-        effects.emplace_back(log_event { log_level::info, "peer",
-            { { "ip", message.sender }, { "what", "heard" }, { "data_centre", message.dataCentre },
-                { "revision", std::to_string(message.asOf) } } });
     peer.incarnation = message.incarnation;
     peer.leaving = message.leaving;
     peer.receivedAt = now;
@@ -193,6 +191,7 @@
         self.membership.nextGossipAt = now + (young ? initialSeedInterval : seedInterval);
         return;
     }
+    logPeerCounts(self, effects);
     const auto jitter = gossipInterval / 4 * random(1024) / 1024; // NOLINT: jitter of up to a quarter of the interval
     self.membership.nextGossipAt = now + gossipInterval - jitter;
 }
--- a/src/coordination/gateway/node.hpp
+++ b/src/coordination/gateway/node.hpp
@@ -74,6 +74,7 @@
     state::time_point peakCountAt; ///< when the number of known hosts was last at least `share.hosts`
     bool hostsCounted = false; ///< at least one host has answered since the start
     bool leaveAnnounced = false;
+    std::string loggedCounts; ///< hosts by data centre in the latest log line
 };
 
 /// Whether this node watches the store for its data centre.
--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -30,9 +30,9 @@
 /// Delay before the next watch. Changes arrive in bursts, and a short delay lets one call read a whole burst. It is
 /// small compared with the seconds within which a change must take effect.
 constexpr state::duration changeBatchDelay = std::chrono::milliseconds { 400 };
-/// Delay of the first watch. Within this time a newly started host learns from heartbeats whether other hosts follow
-/// the store, in which case it does not need to watch it.
-constexpr state::duration firstWatchDelay = std::chrono::milliseconds { 400 };
+/// Delay of the first watch. Within this time a newly started host of a large fleet learns from heartbeats whether
+/// other hosts follow the store, in which case it does not need to watch it. Its peers meanwhile send it changes.
+constexpr state::duration firstWatchDelay = std::chrono::milliseconds { 1500 };
 /// Minimum time between two watches that are ended early because a peer has newer data.
 constexpr state::duration minRestartInterval = std::chrono::milliseconds { 800 };
 constexpr std::size_t maxListedItems = 65536; ///< of one prefix; a listing that does not end is given up
--- a/tests/coordination/gateway/simulated_hosts.hpp
+++ b/tests/coordination/gateway/simulated_hosts.hpp
@@ -97,6 +97,7 @@
         storeUnresponsive; ///< hosts that receive no answer from the store and have not detected this yet
     std::set<std::string> partitionedHosts; ///< hosts that are partitioned from all others
     bool storeDown = false;
+    std::map<std::string, std::size_t> linesLogged; ///< by event, of all hosts
     state::time_point now { 1h };
 
 private:
@@ -142,6 +143,8 @@
                 deliver(ip, sent->ip, sent->message);
             else if (const auto* fetched = std::get_if<fetch_fleet>(&requested))
                 serveFetch(ip, *fetched);
+            else if (const auto* line = std::get_if<log_event>(&requested))
+                ++linesLogged[line->name];
         }
     }
 
--- a/tests/coordination/gateway/simulated_hosts_test.cpp
+++ b/tests/coordination/gateway/simulated_hosts_test.cpp
@@ -63,6 +63,36 @@
         EXPECT_GE(node.share.hosts, 95U) << ip;
 }
 
+/// 312 hosts wrote 144,380 lines about each other in their first 18 s.
+TEST_F(simulated_hosts_test, Fleet_HundredHostsStartAndAThirdIsLost_PeerCountsAreLoggedOnceASecondAtMost)
+{
+    constexpr std::size_t seconds = 30;
+    simulated_hosts large { 34 };
+    large.change("s", true);
+    large.run(8s);
+    std::erase_if(large.nodes, [](const auto& entry) { return entry.second.settings.dataCentre == "c"; });
+    large.run(22s);
+    EXPECT_LE(large.linesLogged["peers"], 102 * seconds);
+    EXPECT_GE(large.linesLogged["peers"], 68U) << "the loss of a data centre is logged";
+}
+
+TEST_F(simulated_hosts_test, Hosts_ManyLostInOneStep_FewLinesAreLogged)
+{
+    m_hosts.change("s", true);
+    m_hosts.run(8s);
+    auto node = m_hosts.nodes.at(simulated_hosts::ipOf(0));
+    for (std::size_t lost = 500; lost < 1000; ++lost)
+        node.peers[simulated_hosts::ipOf(lost)] = { "b", 1, false, m_hosts.now - 60s, {}, {}, 0 };
+    random_generator random { 1 };
+    effect_list effects;
+    handle(node, timer_expired {}, m_hosts.now + 2s, random, effects);
+    const auto isAboutPeers = [](const effect& wanted) {
+        const auto* line = std::get_if<log_event>(&wanted);
+        return line != nullptr && (line->name == "peer" || line->name == "peers_left_out");
+    };
+    EXPECT_EQ(std::count_if(effects.begin(), effects.end(), isAboutPeers), 5);
+}
+
 TEST_F(simulated_hosts_test, Store_Stable_WatchedByOneHostPerDataCentre)
 {
     m_hosts.change("s", true);
