--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -288,9 +288,8 @@
         auto link = acquireConnection(host.ip, id);
         link->send(fmt::format("{} /x HTTP/1.1\r\nHost: {}.example\r\nX-Acaciaslip-Request-Id: {}\r\n"
                                "X-Acaciaslip-Deadline-Ms: 1500\r\n{}\r\n{}",
-                       idempotent ? "GET" : "POST", service, id, idempotent ? "" : "Content-Length: 2\r\n",
-                       idempotent ? "" : "hi"),
-            false);
+            idempotent ? "GET" : "POST", service, id, idempotent ? "" : "Content-Length: 2\r\n",
+            idempotent ? "" : "hi"));
     }
 
     /// Returns an idle connection for about half of the requests, even while its process is being stopped, and opens a
--- a/tests/coordination/gateway/simulated_hosts.hpp
+++ b/tests/coordination/gateway/simulated_hosts.hpp
@@ -64,6 +64,12 @@
             step();
     }
 
+    /// Gives a host the result of reading the whole store at an earlier time.
+    void readStale(std::size_t index, const state::gateway::published_fleet& earlier)
+    {
+        handleEvent(ipOf(index), fleet_update_received { { true, 0, earlier }, fleet_source::store });
+    }
+
     /// Starts a planned stop of a host.
     void stop(std::size_t index) { handleEvent(ipOf(index), stop_requested {}); }
 
--- a/tests/coordination/gateway/simulated_hosts_test.cpp
+++ b/tests/coordination/gateway/simulated_hosts_test.cpp
@@ -233,6 +233,44 @@
     }
 }
 
+/// A read of the store that may be stale is the first thing that a restarted host learns, and its first watch begins
+/// only later. Until then its peers must tell it what has left.
+TEST_F(simulated_hosts_test, Host_RestartsWithStaleListing_LearnsRemovedServerAndWithdrawnEvacuationFromPeers)
+{
+    m_hosts.change("left", true);
+    m_hosts.store.evacuations["a"] = { ++m_hosts.store.asOf, state::gateway::evacuation {} };
+    m_hosts.run(8s);
+    const auto earlier = m_hosts.store;
+    m_hosts.change("left", false);
+    m_hosts.store.evacuations["a"] = { ++m_hosts.store.asOf, std::nullopt };
+    m_hosts.run(2s);
+    const auto ip = simulated_hosts::ipOf(7);
+    m_hosts.nodes.erase(ip);
+    m_hosts.storeUnresponsive.insert(ip);
+    m_hosts.add(7, "b");
+    m_hosts.readStale(7, earlier);
+    const auto& node = m_hosts.nodes.at(ip);
+    ASSERT_TRUE(node.servers.contains("left"));
+    m_hosts.run(300ms);
+    EXPECT_EQ(node.published.asOf, m_hosts.store.asOf);
+    EXPECT_FALSE(node.servers.contains("left"));
+    EXPECT_FALSE(node.published.evacuations.at("a").value);
+}
+
+/// A host that was paused while others learned changes must not bring back what has left.
+TEST_F(simulated_hosts_test, Host_PausedForThirtySeconds_DoesNotBringBackWhatHasLeft)
+{
+    m_hosts.change("left", true);
+    m_hosts.run(8s);
+    auto paused = m_hosts.nodes.extract(simulated_hosts::ipOf(3));
+    m_hosts.change("left", false);
+    m_hosts.run(30s);
+    m_hosts.nodes.insert(std::move(paused));
+    m_hosts.run(2s);
+    for (const auto& [ip, node] : m_hosts.nodes)
+        EXPECT_FALSE(node.servers.contains("left")) << ip;
+}
+
 TEST_F(simulated_hosts_test, Host_Stopping_IsNotCountedByOthers)
 {
     m_hosts.run(3s);
