--- a/tests/transport/loop/endless_bytes_test.cpp
+++ b/tests/transport/loop/endless_bytes_test.cpp
@@ -235,8 +235,10 @@
 
 TEST_F(caller_memory_test, Uploads_ManyAtOnce_StayWithinMemoryAndSmallRequestsArrive)
 {
+    constexpr std::size_t uploads = 100;
     std::vector<std::shared_ptr<test_connection>> callers;
-    for (int caller = 0; caller < 100; ++caller)
+    callers.reserve(uploads);
+    for (std::size_t caller = 0; caller < uploads; ++caller)
         callers.push_back(send(upload(4 * megabyte) + "\r\n" + std::string(100000, 'x')));
     ASSERT_TRUE(runUntil([&] {
         return std::count_if(callers.begin(), callers.end(), [](const auto& caller) {
