Log what a host knows about the store when it starts or stops watching it

Change: store_duty gives the numbers of other hosts of the data centre that the store answers and that try without an answer; store_lost gives the time since the last usable answer. No decision changes.

--- a/src/coordination/gateway/events.hpp
+++ b/src/coordination/gateway/events.hpp
@@ -80,6 +80,7 @@
 /// The store stopped responding.
 struct store_lost {
     std::string reason;
+    state::duration silentFor {}; ///< time since its last usable answer; zero: it has never answered
 };
 
 /// The store responds again.
--- a/src/coordination/gateway/fleet_view.cpp
+++ b/src/coordination/gateway/fleet_view.cpp
@@ -152,7 +152,9 @@
     self.storeLostAt = now;
     ++self.counters.storeLosses;
     effects.emplace_back(log_event { log_level::warning, "store_lost",
-        { { "reason", lost.reason }, { "revision", std::to_string(self.published.asOf) } } });
+        { { "reason", lost.reason },
+            { "silent_ms", std::to_string(static_cast<std::int64_t>(state::toMilliseconds(lost.silentFor))) },
+            { "revision", std::to_string(self.published.asOf) } } });
 }
 
 void handleStoreRecovered(gateway_node& self, state::time_point now, effect_list& effects)
--- a/src/coordination/gateway/store_watch.cpp
+++ b/src/coordination/gateway/store_watch.cpp
@@ -26,15 +26,27 @@
 /// A delta with more changes than this is announced by its revision only, and peers fetch it.
 constexpr std::size_t maxRelayedChanges = 6;
 
+/// Whether a host of the own data centre has reported this access to the store recently.
+bool isWatcher(
+    const gateway_node& self, const state::gateway::peer_state& peer, store_access access, state::time_point now)
+{
+    return !peer.leaving && peer.dataCentre == self.settings.dataCentre && peer.store == access && peer.receivedAt
+        && now - *peer.receivedAt < watcherTimeout;
+}
+
 int countBefore(const gateway_node& self, store_access access, state::time_point now)
 {
     return static_cast<int>(std::count_if(self.peers.begin(), self.peers.end(), [&](const auto& entry) {
-        const auto& peer = entry.second;
-        return !peer.leaving && entry.first < self.settings.ip && peer.dataCentre == self.settings.dataCentre
-            && peer.store == access && peer.receivedAt && now - *peer.receivedAt < watcherTimeout;
+        return entry.first < self.settings.ip && isWatcher(self, entry.second, access, now);
     }));
 }
 
+int countWatchers(const gateway_node& self, store_access access, state::time_point now)
+{
+    return static_cast<int>(std::count_if(self.peers.begin(), self.peers.end(),
+        [&](const auto& entry) { return isWatcher(self, entry.second, access, now); }));
+}
+
 bool isCoveredByOthers(const gateway_node& self, state::time_point now)
 {
     if (self.published.asOf == 0)
@@ -87,7 +99,7 @@
     });
 }
 
-void setWatching(gateway_node& self, bool watches, effect_list& effects)
+void setWatching(gateway_node& self, bool watches, state::time_point now, effect_list& effects)
 {
     if (self.storeWatch.watching == watches)
         return;
@@ -95,7 +107,10 @@
     if (!watches)
         self.storeLostAt.reset(); // whether the store responds is then learned from other hosts
     effects.emplace_back(log_event { log_level::info, "store_duty",
-        { { "follows", watches ? "yes" : "no" }, { "revision", std::to_string(self.published.asOf) } } });
+        { { "follows", watches ? "yes" : "no" },
+            { "answered", std::to_string(countWatchers(self, store_access::answers, now)) },
+            { "trying", std::to_string(countWatchers(self, store_access::away, now)) },
+            { "revision", std::to_string(self.published.asOf) } } });
     effects.emplace_back(watch_store { watches, self.published.asOf });
 }
 
@@ -127,11 +142,11 @@
     self.storeWatch.nextStepAt = now + watcherHeartbeatInterval;
     if (!isCoveredByOthers(self, now)) {
         self.storeWatch.redundantSince.reset();
-        setWatching(self, true, effects);
+        setWatching(self, true, now, effects);
     } else if (!self.storeWatch.redundantSince)
         self.storeWatch.redundantSince = now;
     else if (now - *self.storeWatch.redundantSince >= stepDownDelay)
-        setWatching(self, false, effects);
+        setWatching(self, false, now, effects);
     if (findStoreAccess(self) != store_access::none && self.phase < node_phase::leaving)
         notifyDataCentre(self, std::nullopt, now, random, effects);
 }
--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -286,10 +286,15 @@
         return;
     m_stage = m_stage == stage::listing ? stage::listing : stage::idle;
     if (!std::exchange(m_lost, true))
-        m_sink(coordination::gateway::store_lost { reason });
+        m_sink(coordination::gateway::store_lost { reason, silentFor() });
     m_delay.start(delayAfterFailure(m_pacing, jitter()));
 }
 
+state::duration store_client::silentFor() const
+{
+    return m_answeredAt == state::time_point {} ? state::duration {} : transport::loop::bootNow() - m_answeredAt;
+}
+
 void store_client::closeConnection()
 {
     if (m_connection)
--- a/src/platform/store_client.hpp
+++ b/src/platform/store_client.hpp
@@ -70,6 +70,7 @@
     void addItems(const nlohmann::json& items);
     [[nodiscard]] std::chrono::milliseconds findWatchWait() const;
     double jitter();
+    [[nodiscard]] state::duration silentFor() const;
     void handleFailure(const std::string& reason);
     void closeConnection();
 
