Add a failing test: a change is late on hosts that the store answers

The store is silent for all but 2 of 72 hosts. The watchers notice this config-apply less 0.7 s later, and no host has the change when it must be in force: the first hosts to ask keep all others from asking, first because they report an answer that they do not have yet, then because three of them keep trying.

--- a/tests/coordination/gateway/simulated_hosts.hpp
+++ b/tests/coordination/gateway/simulated_hosts.hpp
@@ -83,6 +83,13 @@
         }
     }
 
+    /// From now on the store gives these hosts no answer, without an error, on old and new connections.
+    void silenceStoreFor(const std::set<std::string>& hosts)
+    {
+        m_storeSilentFor = hosts;
+        m_silentSince = now;
+    }
+
     bool isPartitioned(const std::string& from, const std::string& to) const
     {
         return partitionedHosts.contains(from) || partitionedHosts.contains(to);
@@ -104,9 +111,12 @@
     std::set<std::string> partitionedHosts; ///< hosts that are partitioned from all others
     bool storeDown = false;
     std::map<std::string, std::size_t> linesLogged; ///< by event, of all hosts
+    std::size_t watchesStarted = 0; ///< by all hosts
     state::time_point now { 1h };
 
 private:
+    static constexpr state::duration firstCallTimeout = 600ms; ///< of a host that has just begun to ask the store
+
     void step()
     {
         for (auto& [ip, node] : nodes) {
@@ -124,15 +134,27 @@
     {
         if (!node.storeWatch.watching || storeUnresponsive.contains(ip) || isSilent(ip))
             return;
-        const bool unreachable = storeDown || storeRefuses.contains(ip);
+        if (m_storeSilentFor.contains(ip) && !isSilenceNoticed(ip, node))
+            return;
+        const bool unreachable = storeDown || storeRefuses.contains(ip) || m_storeSilentFor.contains(ip);
         if (unreachable && !node.storeLostAt)
             handleEvent(ip, store_lost { "test" });
-        if (!unreachable && node.storeLostAt)
+        if (!unreachable && (node.storeLostAt || m_unanswered.erase(ip) > 0))
             handleEvent(ip, store_recovered {});
         if (!unreachable && node.published.asOf < store.asOf)
             handleEvent(ip, fleet_update_received { makeDelta(store, node.published.asOf), fleet_source::store });
     }
 
+    /// A watcher gives up a store that was answering after the silence that it tolerates. A host that has only just
+    /// begun to ask gives up sooner.
+    [[nodiscard]] bool isSilenceNoticed(const std::string& ip, const gateway_node& node) const
+    {
+        const auto asked = m_askedAt.at(ip);
+        if (asked < m_silentSince)
+            return now >= m_silentSince + maxStoreSilence(node.settings.limits);
+        return now >= asked + firstCallTimeout;
+    }
+
     [[nodiscard]] bool isSilent(const std::string& ip) const
     {
         const auto until = m_silentUntil.find(ip);
@@ -149,11 +171,22 @@
                 deliver(ip, sent->ip, sent->message);
             else if (const auto* fetched = std::get_if<fetch_fleet>(&requested))
                 serveFetch(ip, *fetched);
+            else if (const auto* watch = std::get_if<watch_store>(&requested))
+                recordWatch(ip, *watch);
             else if (const auto* line = std::get_if<log_event>(&requested))
                 ++linesLogged[line->name];
         }
     }
 
+    void recordWatch(const std::string& ip, const watch_store& watch)
+    {
+        if (!watch.follow)
+            return;
+        ++watchesStarted;
+        m_askedAt[ip] = now;
+        m_unanswered.insert(ip);
+    }
+
     void deliver(const std::string& from, const std::string& to, const state::gateway::peer_heartbeat& message)
     {
         if (isPartitioned(from, to) || !nodes.contains(to))
@@ -179,6 +212,10 @@
 
     std::map<std::string, random_generator> m_random;
     std::map<std::string, state::time_point> m_silentUntil; ///< connections to the store without an answer
+    std::set<std::string> m_storeSilentFor;
+    state::time_point m_silentSince;
+    std::map<std::string, state::time_point> m_askedAt; ///< when each watching host began to ask the store
+    std::set<std::string> m_unanswered; ///< watching hosts that the store has not answered since
     std::vector<std::function<void()>> m_inbox;
 };
 
--- a/tests/coordination/gateway/simulated_hosts_test.cpp
+++ b/tests/coordination/gateway/simulated_hosts_test.cpp
@@ -233,6 +233,33 @@
     }
 }
 
+/// Guards against changes that are late on hosts that the store answers, because three hosts of their data centre that
+/// it does not answer kept them from asking (tmirs-gw-grown, deploy/days/store-out-of-reach-for-most: version 9 took
+/// effect 3.3 s after the store acknowledged it).
+TEST_F(simulated_hosts_test, Store_AnswersFewHostsOnly_ChangeReachesEveryHostWithinBound)
+{
+    for (const auto bound : { 2000ms, 2500ms, 3000ms }) {
+        simulated_hosts hosts { 0 };
+        hosts.change("s", true);
+        for (std::size_t index = 0; index < 72; ++index) {
+            hosts.add(index, std::string(1, static_cast<char>('a' + index % 3)));
+            hosts.nodes.at(simulated_hosts::ipOf(index)).settings.limits.configApply = bound;
+            hosts.run(10ms);
+        }
+        hosts.run(12s);
+        std::set<std::string> silent;
+        for (const auto& [ip, node] : hosts.nodes)
+            silent.insert(ip);
+        for (const std::size_t answered : { 62, 70 })
+            silent.erase(simulated_hosts::ipOf(answered));
+        hosts.silenceStoreFor(silent);
+        hosts.change("t", true);
+        hosts.run(bound);
+        for (const auto& [ip, node] : hosts.nodes)
+            EXPECT_EQ(node.published.asOf, hosts.store.asOf) << ip;
+    }
+}
+
 /// A read of the store that may be stale is the first thing that a restarted host learns, and its first watch begins
 /// only later. Until then its peers must tell it what has left.
 TEST_F(simulated_hosts_test, Host_RestartsWithStaleListing_LearnsRemovedServerAndWithdrawnEvacuationFromPeers)
