Let every host search for the store while it answers no watcher

Of each data centre the three lowest addresses that tried kept all others from trying, for as long as they failed; a host reported that the store answers it as soon as it began to ask, which kept others away for the 600 ms until its first call had timed out; a host with an answer gave up its watch when three others without one were trying; and hosts learned of a watcher's loss at its next heartbeat only. Whether a host that the store answers was among the first to ask was a matter of luck.

Change: a host counts as a watcher with an answer only once it has one (the store client reports the first answer after each start, and its first call does not wait). While no host of the data centre has one, every host asks once within 250 ms at a random time, unannounced, and again once in each stable window, the time after which a host must be up to date; three keep trying as before. A watcher tells its data centre at once when the store is lost or answers, and yields only to a host with an answer. The cost is one call a host and stable window while the store answers none.

The fixture's node now begins its watch before anything is published, as a process does.

--- a/src/coordination/gateway/events.hpp
+++ b/src/coordination/gateway/events.hpp
@@ -83,7 +83,7 @@
     state::duration silentFor {}; ///< time since its last usable answer; zero: it has never answered
 };
 
-/// The store responds again.
+/// The store responds for the first time since this node began to watch it, or responds again after it was lost.
 struct store_recovered { };
 
 /// A heartbeat datagram of another entry host was received.
--- a/src/coordination/gateway/fleet_relay.cpp
+++ b/src/coordination/gateway/fleet_relay.cpp
@@ -52,7 +52,7 @@
         handleFleetUpdate(self, { *message.delta, fleet_source::peer }, now, random, effects);
     if (message.asOf <= self.published.asOf || self.fetch.fetchAt)
         return;
-    const bool expectsStore = self.storeWatch.watching && !self.storeLostAt && self.published.asOf > 0;
+    const bool expectsStore = findStoreAccess(self) == state::gateway::store_access::answers;
     self.fetch.fetchAt = now + (expectsStore ? storeHeadStart : state::duration {});
 }
 
--- a/src/coordination/gateway/membership.cpp
+++ b/src/coordination/gateway/membership.cpp
@@ -160,6 +160,7 @@
         return; // a host may send heartbeats only for itself
     recordPeer(self, message.sender, message.dataCentre, now);
     auto& peer = self.peers[message.sender];
+    handlePeerStoreAccess(self, peer, message, now);
     peer.incarnation = message.incarnation;
     peer.leaving = message.leaving;
     peer.receivedAt = now;
--- a/src/coordination/gateway/node.cpp
+++ b/src/coordination/gateway/node.cpp
@@ -35,8 +35,8 @@
     {
         handleFleetUpdate(self, published, now, random, effects);
     }
-    void operator()(const store_lost& lost) const { handleStoreLost(self, lost, now, effects); }
-    void operator()(const store_recovered&) const { handleStoreRecovered(self, now, effects); }
+    void operator()(const store_lost& lost) const { handleStoreUnanswered(self, lost, now, effects); }
+    void operator()(const store_recovered&) const { handleStoreAnswered(self, now, effects); }
     void operator()(const heartbeat_received& received) const { handleHeartbeat(self, received, now, random, effects); }
     void operator()(const fetch_finished&) const { handleFetchFinished(self, now, effects); }
     void operator()(const stop_requested&) const { beginShutdown(self, now, effects); }
--- a/src/coordination/gateway/node.hpp
+++ b/src/coordination/gateway/node.hpp
@@ -80,6 +80,9 @@
 /// Whether this node watches the store for its data centre.
 struct store_watch {
     bool watching = false;
+    bool answered = false; ///< the store has answered since this node began to watch it, and has not been lost
+    bool searching = false; ///< asks the store without announcing it, because no watcher has an answer
+    std::optional<state::time_point> searchAt; ///< next search; empty while a watcher has an answer
     state::time_point nextStepAt;
     /// Time since which other hosts watch the store, so that this node need not.
     std::optional<state::time_point> redundantSince;
--- a/src/coordination/gateway/settings.hpp
+++ b/src/coordination/gateway/settings.hpp
@@ -16,6 +16,8 @@
     double minRetries = 50; ///< retries per `retryWindow` in addition to the ratio, over all hosts
     state::duration shutdownGrace = std::chrono::seconds { 6 }; ///< time between SIGTERM and SIGKILL
     state::duration configApply = std::chrono::seconds { 2 }; ///< from a change in the store to its effect on all hosts
+    /// Time from the end of a disturbance of a host until it must be up to date again.
+    state::duration stableWindow = std::chrono::seconds { 3 };
 };
 
 /// Settings of this node alone.
--- a/src/coordination/gateway/store_watch.cpp
+++ b/src/coordination/gateway/store_watch.cpp
@@ -1,9 +1,11 @@
 #include "coordination/gateway/store_watch.hpp"
 
+#include "coordination/gateway/fleet_view.hpp"
 #include "coordination/gateway/membership.hpp"
 
 #include <algorithm>
 #include <map>
+#include <utility>
 #include <vector>
 
 namespace acaciaslip::coordination::gateway {
@@ -12,15 +14,16 @@
 
 using state::gateway::store_access;
 
-constexpr int wantedWatchers = 1; ///< per data centre; hosts of other data centres relay changes too, by gossip
-/// While the store rejects the watching hosts, this many hosts of a data centre keep trying, because the store may
-/// accept others.
-constexpr int maxTryingHosts = 3;
+constexpr int maxTryingHosts = 3; ///< hosts of a data centre that keep trying while the store answers none of them
+/// Hosts begin a search at random times within this time, so that most of them learn of the first answer before they
+/// ask.
+constexpr state::duration searchSpread = std::chrono::milliseconds { 250 };
+constexpr std::uint32_t searchSteps = 1024; ///< resolution of the random times
 constexpr state::duration watcherHeartbeatInterval = std::chrono::milliseconds { 300 };
 constexpr state::duration watcherTimeout = std::chrono::milliseconds { 900 }; ///< tolerates two lost heartbeats
 /// Time for which other hosts must watch the store without interruption before this one stops.
 constexpr state::duration stepDownDelay = std::chrono::milliseconds { 500 };
-/// Time for a watcher to read a change on a new connection and for the hosts of its data centre to fetch it.
+/// Time to search for a host that the store answers, for it to read a change and for all others to fetch it.
 constexpr state::duration changeSpreadTime = std::chrono::milliseconds { 700 };
 constexpr state::duration minStoreSilence = std::chrono::milliseconds { 600 }; ///< limits the calls of short bounds
 /// A delta with more changes than this is announced by its revision only, and peers fetch it.
@@ -47,11 +50,14 @@
         [&](const auto& entry) { return isWatcher(self, entry.second, access, now); }));
 }
 
+/// Whether a host that watches the store need not. A watcher without an answer is of less use than any that has one.
 bool isCoveredByOthers(const gateway_node& self, state::time_point now)
 {
     if (self.published.asOf == 0)
         return false;
-    return countBefore(self, store_access::answers, now) >= wantedWatchers
+    if (self.storeWatch.answered)
+        return countBefore(self, store_access::answers, now) > 0;
+    return countWatchers(self, store_access::answers, now) > 0
         || countBefore(self, store_access::away, now) >= maxTryingHosts;
 }
 
@@ -99,19 +105,59 @@
     });
 }
 
-void setWatching(gateway_node& self, bool watches, state::time_point now, effect_list& effects)
+log_event describeDuty(const gateway_node& self, state::time_point now)
 {
-    if (self.storeWatch.watching == watches)
-        return;
-    self.storeWatch.watching = watches;
-    if (!watches)
-        self.storeLostAt.reset(); // whether the store responds is then learned from other hosts
-    effects.emplace_back(log_event { log_level::info, "store_duty",
-        { { "follows", watches ? "yes" : "no" },
+    return { log_level::info, "store_duty",
+        { { "follows", self.storeWatch.watching ? "yes" : "no" },
             { "answered", std::to_string(countWatchers(self, store_access::answers, now)) },
             { "trying", std::to_string(countWatchers(self, store_access::away, now)) },
-            { "revision", std::to_string(self.published.asOf) } } });
-    effects.emplace_back(watch_store { watches, self.published.asOf });
+            { "revision", std::to_string(self.published.asOf) } } };
+}
+
+void startWatch(gateway_node& self, effect_list& effects)
+{
+    self.storeWatch.watching = true;
+    self.storeWatch.answered = false;
+    self.storeWatch.redundantSince.reset();
+    effects.emplace_back(watch_store { true, self.published.asOf });
+}
+
+void stopWatch(gateway_node& self, effect_list& effects)
+{
+    self.storeWatch.watching = false;
+    self.storeWatch.answered = false;
+    self.storeLostAt.reset(); // whether the store responds is then learned from other hosts
+    effects.emplace_back(watch_store { false, self.published.asOf });
+}
+
+void startSearch(gateway_node& self, state::time_point now, effect_list& effects)
+{
+    self.storeWatch.searching = true;
+    self.storeWatch.searchAt = now + self.settings.limits.stableWindow;
+    startWatch(self, effects);
+}
+
+/// Plans a search while the store answers no watcher of the data centre.
+void planSearch(gateway_node& self, state::time_point now, random_generator& random)
+{
+    if (countWatchers(self, store_access::answers, now) > 0)
+        self.storeWatch.searchAt.reset();
+    else if (!self.storeWatch.searchAt)
+        self.storeWatch.searchAt = now + searchSpread * random(searchSteps) / searchSteps;
+}
+
+/// Ends a watch that others make unnecessary.
+void stopRedundantWatch(gateway_node& self, state::time_point now, effect_list& effects)
+{
+    auto& since = self.storeWatch.redundantSince;
+    if (!isCoveredByOthers(self, now))
+        return since.reset();
+    if (!since)
+        since = now;
+    if (now - *since < stepDownDelay)
+        return;
+    stopWatch(self, effects);
+    effects.emplace_back(describeDuty(self, now));
 }
 
 bool isRelayable(const state::gateway::fleet_delta& delta) noexcept
@@ -130,30 +176,72 @@
 
 store_access findStoreAccess(const gateway_node& self) noexcept
 {
-    if (!self.storeWatch.watching || self.published.asOf == 0)
+    if (!self.storeWatch.watching || self.storeWatch.searching || self.published.asOf == 0)
         return store_access::none;
-    return self.storeLostAt ? store_access::away : store_access::answers;
+    return self.storeWatch.answered ? store_access::answers : store_access::away;
+}
+
+void handleStoreAnswered(gateway_node& self, state::time_point now, effect_list& effects)
+{
+    if (!self.storeWatch.watching)
+        return;
+    self.storeWatch.answered = true;
+    self.storeWatch.searchAt.reset();
+    self.storeWatch.nextStepAt = now;
+    if (std::exchange(self.storeWatch.searching, false))
+        effects.emplace_back(describeDuty(self, now));
+    handleStoreRecovered(self, now, effects);
+}
+
+void handleStoreUnanswered(gateway_node& self, const store_lost& lost, state::time_point now, effect_list& effects)
+{
+    if (!self.storeWatch.watching)
+        return;
+    self.storeWatch.answered = false;
+    self.storeWatch.nextStepAt = now;
+    const bool searched = std::exchange(self.storeWatch.searching, false);
+    if (searched && (isCoveredByOthers(self, now) || countWatchers(self, store_access::away, now) >= maxTryingHosts)) {
+        effects.emplace_back(log_event { log_level::info, "store_search",
+            { { "reason", lost.reason }, { "revision", std::to_string(self.published.asOf) } } });
+        return stopWatch(self, effects);
+    }
+    if (searched)
+        effects.emplace_back(describeDuty(self, now));
+    handleStoreLost(self, lost, now, effects);
+}
+
+void handlePeerStoreAccess(gateway_node& self, const state::gateway::peer_state& before,
+    const state::gateway::peer_heartbeat& message, state::time_point now) noexcept
+{
+    const bool lost = before.store == store_access::answers && message.store != store_access::answers;
+    if (lost && message.dataCentre == self.settings.dataCentre)
+        self.storeWatch.nextStepAt = now;
 }
 
 void updateStoreWatch(gateway_node& self, state::time_point now, random_generator& random, effect_list& effects)
 {
-    if (now < self.storeWatch.nextStepAt)
+    auto& watch = self.storeWatch;
+    if (!watch.watching && watch.searchAt && now >= *watch.searchAt)
+        startSearch(self, now, effects);
+    if (now < watch.nextStepAt)
         return;
-    self.storeWatch.nextStepAt = now + watcherHeartbeatInterval;
-    if (!isCoveredByOthers(self, now)) {
-        self.storeWatch.redundantSince.reset();
-        setWatching(self, true, now, effects);
-    } else if (!self.storeWatch.redundantSince)
-        self.storeWatch.redundantSince = now;
-    else if (now - *self.storeWatch.redundantSince >= stepDownDelay)
-        setWatching(self, false, now, effects);
+    watch.nextStepAt = now + watcherHeartbeatInterval;
+    if (!watch.watching && self.published.asOf == 0) {
+        startWatch(self, effects);
+        effects.emplace_back(describeDuty(self, now));
+    } else if (!watch.watching)
+        planSearch(self, now, random);
+    else if (!watch.searching)
+        stopRedundantWatch(self, now, effects);
     if (findStoreAccess(self) != store_access::none && self.phase < node_phase::leaving)
         notifyDataCentre(self, std::nullopt, now, random, effects);
 }
 
 state::time_point nextStoreWatchStep(const gateway_node& self) noexcept
 {
-    return self.storeWatch.nextStepAt;
+    const auto& watch = self.storeWatch;
+    const bool waits = !watch.watching && watch.searchAt;
+    return waits ? std::min(*watch.searchAt, watch.nextStepAt) : watch.nextStepAt;
 }
 
 void relayChanges(gateway_node& self, const state::gateway::fleet_delta& delta, state::time_point now,
--- a/src/platform/host_settings.cpp
+++ b/src/platform/host_settings.cpp
@@ -114,6 +114,7 @@
     fields.parseUnsigned("terms.bounds.retry-slack", bounds.minRetries);
     fields.readDuration("terms.bounds.grace", bounds.shutdownGrace);
     fields.readDuration("terms.bounds.config-apply", bounds.configApply);
+    fields.readDuration("terms.bounds.stable-window", bounds.stableWindow);
 }
 
 host_settings readFields(field_reader& fields)
--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -24,7 +24,8 @@
 /// Time that the store needs for an answer, including the network and a busy host.
 constexpr state::duration answerMargin = std::chrono::milliseconds { 400 };
 constexpr std::chrono::milliseconds minWatchWait { 200 };
-/// Requested after a failure: the store answers at once, so that a second lost answer does not cost a whole watch.
+/// Requested while it is unknown whether the store answers: it does so at once, so that a lost answer does not cost a
+/// whole watch.
 constexpr std::chrono::milliseconds recoveryWait { 1 };
 constexpr state::duration listTimeout = std::chrono::milliseconds { 1000 };
 /// Delay before the next watch. Changes arrive in bursts, and a short delay lets one call read a whole burst. It is
@@ -60,8 +61,11 @@
 
 void store_client::start()
 {
-    if (!std::exchange(m_following, true))
-        callNext();
+    if (std::exchange(m_following, true))
+        return;
+    m_store = store_state::unknown;
+    m_pacing.failures = 0;
+    callNext();
 }
 
 void store_client::stop()
@@ -122,7 +126,7 @@
 /// The store is given up when it has not answered for `m_maxSilence`, so a watch that starts later waits less.
 std::chrono::milliseconds store_client::findWatchWait() const
 {
-    if (m_pacing.failures > 0)
+    if (m_store != store_state::answers || m_pacing.failures > 0)
         return recoveryWait;
     const auto sinceAnswer = std::min(transport::loop::bootNow() - m_answeredAt, m_maxSilence);
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(m_maxSilence - answerMargin - sinceAnswer);
@@ -173,7 +177,7 @@
     if (!read.ok())
         return handleFailure(std::string(read.status().message()));
     m_answeredAt = transport::loop::bootNow();
-    if (std::exchange(m_lost, false))
+    if (std::exchange(m_store, store_state::answers) != store_state::answers)
         m_sink(coordination::gateway::store_recovered {});
     if (m_stage == stage::listing)
         handlePage(*read);
@@ -285,7 +289,7 @@
     if (!m_following)
         return;
     m_stage = m_stage == stage::listing ? stage::listing : stage::idle;
-    if (!std::exchange(m_lost, true))
+    if (std::exchange(m_store, store_state::lost) != store_state::lost)
         m_sink(coordination::gateway::store_lost { reason, silentFor() });
     m_delay.start(delayAfterFailure(m_pacing, jitter()));
 }
--- a/src/platform/store_client.hpp
+++ b/src/platform/store_client.hpp
@@ -56,6 +56,7 @@
 
 private:
     enum class stage { idle, listing, watching };
+    enum class store_state { unknown, answers, lost }; ///< since following began
 
     void callNext();
     void call(std::string target, state::duration timeout);
@@ -93,7 +94,7 @@
     /// returns the missing changes, unless the store has dropped the history after the stale revision.
     bool m_allowStale = true;
     bool m_following = false;
-    bool m_lost = false;
+    store_state m_store = store_state::unknown;
     bool m_historyGone = false; ///< no watch has been answered since the store reported its history as gone
     call_pacing m_pacing;
     std::size_t m_listedItems = 0; ///< of the prefix that is being listed
--- a/tests/coordination/gateway/gateway_fixture.hpp
+++ b/tests/coordination/gateway/gateway_fixture.hpp
@@ -34,6 +34,9 @@
         m_route.timeout = 1200ms;
         m_route.attempts = 2;
         m_route.split = { { "a", 1 } };
+        handleEvent(timer_expired {}); // the node begins to watch the store
+        handleEvent(store_recovered {});
+        m_effects.clear();
     }
 
     /// Publishes `m_route` and servers "s0", "s1"… of service "a", all in the node's own data centre.
--- a/tests/coordination/gateway/simulated_hosts_test.cpp
+++ b/tests/coordination/gateway/simulated_hosts_test.cpp
@@ -260,6 +260,51 @@
     }
 }
 
+/// Guards against a host that has just begun to ask and counts as a watcher with an answer, and against one with an
+/// answer that gives up because three hosts without one keep trying.
+TEST_F(simulated_hosts_test, Store_AnswersHighestAddressOnly_ThatHostAloneReportsAnAnswerAndKeepsWatching)
+{
+    simulated_hosts hosts { 8 };
+    hosts.change("s", true);
+    hosts.run(8s);
+    std::set<std::string> silent;
+    for (const auto& [ip, node] : hosts.nodes)
+        silent.insert(ip);
+    const auto answered = simulated_hosts::ipOf(23);
+    silent.erase(answered);
+    hosts.silenceStoreFor(silent);
+    hosts.run(2s);
+    for (int step = 0; step < 60; ++step) {
+        hosts.run(100ms);
+        for (const auto& [ip, node] : hosts.nodes)
+            EXPECT_EQ(findStoreAccess(node) == state::gateway::store_access::answers, ip == answered) << ip;
+    }
+}
+
+/// Every host must ask once in a stable window, since it may be the only one that the store answers again.
+TEST_F(simulated_hosts_test, Store_DownForAll_EveryHostAsksOnceInEachStableWindowAndFewMoreOften)
+{
+    constexpr std::size_t hostCount = 72;
+    simulated_hosts hosts { hostCount / 3 };
+    hosts.change("s", true);
+    hosts.run(12s);
+    hosts.storeDown = true;
+    hosts.run(1s);
+    hosts.watchesStarted = 0;
+    hosts.run(12s);
+    EXPECT_LE(hosts.watchesStarted, 4 * hostCount);
+    EXPECT_GE(hosts.watchesStarted, 4 * (hostCount - 9));
+    hosts.storeRefuses.clear();
+    for (const auto& [ip, node] : hosts.nodes)
+        hosts.storeRefuses.insert(ip);
+    hosts.storeRefuses.erase(simulated_hosts::ipOf(71));
+    hosts.storeDown = false;
+    hosts.change("t", true);
+    hosts.run(3s);
+    for (const auto& [ip, node] : hosts.nodes)
+        EXPECT_EQ(node.published.asOf, hosts.store.asOf) << ip;
+}
+
 /// A read of the store that may be stale is the first thing that a restarted host learns, and its first watch begins
 /// only later. Until then its peers must tell it what has left.
 TEST_F(simulated_hosts_test, Host_RestartsWithStaleListing_LearnsRemovedServerAndWithdrawnEvacuationFromPeers)
--- a/tests/platform/host_settings_test.cpp
+++ b/tests/platform/host_settings_test.cpp
@@ -37,6 +37,7 @@
     retry-slack: 58
     grace: "6s"
     config-apply: "2500ms"
+    stable-window: "4s"
 )";
 
 class host_settings_test : public testing::Test { };
@@ -56,6 +57,7 @@
     EXPECT_EQ(settings->limits.minRetries, 58);
     EXPECT_EQ(settings->limits.shutdownGrace, 6s);
     EXPECT_EQ(settings->limits.configApply, 2500ms);
+    EXPECT_EQ(settings->limits.stableWindow, 4s);
 }
 
 TEST_F(host_settings_test, File_FieldsMissing_AllAreReported)
--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -78,9 +78,11 @@
     bool m_isUnresponsive = false;
     int m_published = 0;
     int m_lost = 0;
+    int m_answered = 0;
     store_client::event_sink m_sink = [this](const gateway::event& event) {
         m_published += std::holds_alternative<gateway::fleet_update_received>(event) ? 1 : 0;
         m_lost += std::holds_alternative<gateway::store_lost>(event) ? 1 : 0;
+        m_answered += std::holds_alternative<gateway::store_recovered>(event) ? 1 : 0;
     };
     std::unique_ptr<store_client> m_client
         = std::make_unique<store_client>(&m_loop, m_server.address(), m_sink, [](const coordination::log_event&) {});
@@ -127,6 +129,20 @@
     EXPECT_TRUE(runUntil([this] { return m_published == 3; }, maxSilence + 200ms));
 }
 
+/// Guards against a host that counts as a watcher with an answer before it has one: it kept others from asking.
+TEST_F(store_client_test, Following_ResumedWithoutNews_AsksWithoutWaitingAndReportsFirstAnswer)
+{
+    m_watchAnswer = [] { return std::string(R"({"as-of":7,"events":[]})"); };
+    m_client->start();
+    EXPECT_TRUE(runUntil([this] { return m_published == 1; }));
+    m_client->stop();
+    m_answered = 0;
+    m_requests.clear();
+    m_client->start();
+    EXPECT_TRUE(runUntil([this] { return m_answered == 1; }, 150ms));
+    EXPECT_TRUE(m_requests.front().ends_with("&wait-ms=1")) << m_requests.front();
+}
+
 /// The first of these ended the process: the field was read as a boolean without a check of its type.
 TEST_F(store_client_test, ListAnswer_Malformed_CountsAsStoreLostAndIsRepeatedWithBackoff)
 {
