Fetch a change from another host when its source is gone

Found while looking for the cause of the late configurations elsewhere: hosts that depend on one that cannot help.

Cause: a host fetches a change from the peer with the newest revision and, among equals, from the last of its data centre by address.

Change: a peer whose last fetch brought nothing is used again only if no other has anything newer, and of equal peers the one heard last is used.

--- a/src/coordination/gateway/fleet_relay.cpp
+++ b/src/coordination/gateway/fleet_relay.cpp
@@ -4,6 +4,8 @@
 #include "coordination/gateway/store_watch.hpp"
 
 #include <algorithm>
+#include <tuple>
+#include <utility>
 
 namespace acaciaslip::coordination::gateway {
 
@@ -13,21 +15,24 @@
 constexpr state::duration storeHeadStart = std::chrono::milliseconds { 250 };
 constexpr state::duration fetchTimeout = std::chrono::milliseconds { 800 };
 
-/// Returns the peer with the newest revision, preferring peers of the own data centre among equals.
+/// Returns the peer with the newest revision. Among equals, peers of the own data centre are preferred, and then the
+/// one heard last, since others may be gone. A peer whose last fetch brought nothing is used only if it is the only
+/// one.
 const state::gateway::peer_ip* findBestSource(const gateway_node& self)
 {
-    const state::gateway::peer_ip* best = nullptr;
-    state::revision newestRevision = self.published.asOf;
-    for (const auto& [ip, peer] : self.peers) {
-        if (!peer.receivedAt || peer.asOf <= self.published.asOf)
+    const auto rank = [&](const auto& entry) {
+        const auto& [ip, peer] = entry;
+        return std::tuple { ip != self.fetch.failedSource, peer.asOf, peer.dataCentre == self.settings.dataCentre,
+            *peer.receivedAt };
+    };
+    const std::pair<const state::gateway::peer_ip, state::gateway::peer_state>* best = nullptr;
+    for (const auto& entry : self.peers) {
+        if (!entry.second.receivedAt || entry.second.asOf <= self.published.asOf)
             continue;
-        const bool isNear = peer.dataCentre == self.settings.dataCentre;
-        if (best == nullptr || peer.asOf > newestRevision || (peer.asOf == newestRevision && isNear)) {
-            best = &ip;
-            newestRevision = peer.asOf;
-        }
+        if (best == nullptr || rank(entry) > rank(*best))
+            best = &entry;
     }
-    return best;
+    return best == nullptr ? nullptr : &best->first;
 }
 
 } // namespace
@@ -39,6 +44,8 @@
     applyFleetUpdate(self, published, now, effects);
     if (self.published.asOf <= before)
         return;
+    self.fetch.source.clear();
+    self.fetch.failedSource.clear();
     if (published.source == fleet_source::store)
         relayChanges(self, published.delta, now, random, effects);
     else
@@ -69,9 +76,11 @@
     if (!self.fetch.fetchAt || now < *self.fetch.fetchAt || self.fetch.timeoutAt)
         return;
     self.fetch.fetchAt.reset();
+    self.fetch.failedSource = self.fetch.source;
     const auto* source = findBestSource(self);
     if (source == nullptr)
         return;
+    self.fetch.source = *source;
     self.fetch.timeoutAt = now + fetchTimeout;
     self.fetch.fetchAt = now + fetchTimeout; // retry if the fetch does not succeed
     effects.emplace_back(fetch_fleet { *source, self.published.asOf, fetchTimeout });
--- a/src/coordination/gateway/node.hpp
+++ b/src/coordination/gateway/node.hpp
@@ -92,6 +92,8 @@
 struct fetch_state {
     std::optional<state::time_point> fetchAt; ///< when to fetch: a peer has a newer revision
     std::optional<state::time_point> timeoutAt; ///< time limit of the fetch in progress
+    state::gateway::peer_ip source; ///< peer of the latest fetch
+    state::gateway::peer_ip failedSource; ///< peer of the latest fetch that brought nothing; empty after a success
 };
 
 /// Until the number of hosts is known, budgets are divided by the size of a large fleet.
--- a/tests/coordination/gateway/simulated_hosts_test.cpp
+++ b/tests/coordination/gateway/simulated_hosts_test.cpp
@@ -305,6 +305,30 @@
         EXPECT_EQ(node.published.asOf, hosts.store.asOf) << ip;
 }
 
+/// Guards against hosts that keep fetching a change from a host that is gone: a watcher announces a change and loses
+/// power before anyone has fetched it.
+TEST_F(simulated_hosts_test, Watcher_GoneAfterAnnouncingChange_OthersFetchItElsewhereWithinBound)
+{
+    simulated_hosts hosts { 24 };
+    hosts.change("s", true);
+    hosts.run(8s);
+    const auto watcher = simulated_hosts::ipOf(69);
+    for (const auto& [ip, node] : hosts.nodes) {
+        if (node.settings.dataCentre == "a" && ip != watcher)
+            hosts.storeRefuses.insert(ip);
+    }
+    hosts.run(6s);
+    ASSERT_TRUE(hosts.nodes.at(watcher).storeWatch.answered);
+    hosts.storeRefuses.clear();
+    for (int server = 0; server < 10; ++server)
+        hosts.change("t" + std::to_string(server), true);
+    hosts.run(10ms);
+    hosts.nodes.erase(watcher);
+    hosts.run(1990ms);
+    for (const auto& [ip, node] : hosts.nodes)
+        EXPECT_EQ(node.published.asOf, hosts.store.asOf) << ip;
+}
+
 /// A read of the store that may be stale is the first thing that a restarted host learns, and its first watch begins
 /// only later. Until then its peers must tell it what has left.
 TEST_F(simulated_hosts_test, Host_RestartsWithStaleListing_LearnsRemovedServerAndWithdrawnEvacuationFromPeers)
