Read the limit that a server names, and log it

No log line showed a limit, so hosts that never heard of one and hosts that do not share one looked alike.

A regular answer without it ends it; refusals, server errors, misdirected answers and probes do not. No decision uses it yet.

--- a/src/coordination/gateway/events.hpp
+++ b/src/coordination/gateway/events.hpp
@@ -53,6 +53,7 @@
     probe_outcome outcome = probe_outcome::no_answer;
     std::optional<state::gateway::load_report> report; ///< its time is set by the node
     state::duration coldRemaining {};
+    state::gateway::limit_report limit;
 };
 
 /// An attempt to run a request on a server has finished.
@@ -61,6 +62,7 @@
     state::attempt_outcome outcome = state::attempt_outcome::cut;
     int status = 0; ///< HTTP status of the server's response; 0 without one
     std::optional<state::gateway::load_report> report; ///< its time is set by the node
+    state::gateway::limit_report limit;
 };
 
 /// Source of an update of the published fleet.
--- a/src/coordination/gateway/probing.cpp
+++ b/src/coordination/gateway/probing.cpp
@@ -189,7 +189,7 @@
     resolveRound(self, request, best, now, random, effects);
 }
 
-void recordProbeResult(gateway_node& self, const probe_finished& finished, state::time_point now)
+void recordProbeResult(gateway_node& self, const probe_finished& finished, state::time_point now, effect_list& effects)
 {
     auto* const server = findServer(self, finished.server);
     if (server == nullptr || finished.outcome == probe_outcome::no_connection)
@@ -200,6 +200,7 @@
     server->coldUntil = now + finished.coldRemaining;
     if (finished.report)
         recordLoadReport(self, finished.server, *finished.report, now);
+    recordProbeLimit(self, finished.server, finished.limit, effects);
 }
 
 } // namespace
@@ -223,7 +224,7 @@
     random_generator& random, effect_list& effects)
 {
     ++self.counters.probesByOutcome[finished.outcome];
-    recordProbeResult(self, finished, now);
+    recordProbeResult(self, finished, now, effects);
     const auto known = self.probes.find(static_cast<std::uint64_t>(finished.id));
     if (known == self.probes.end())
         return;
--- a/src/coordination/gateway/request_flow.cpp
+++ b/src/coordination/gateway/request_flow.cpp
@@ -197,6 +197,7 @@
     recordSendFinished(self, server);
     if (finished.report)
         recordLoadReport(self, server, *finished.report, now);
+    recordAnswerLimit(self, server, finished, effects);
     auto& request = self.requests.at(static_cast<std::uint64_t>(requestId));
     auto& inFlight = request.attemptsInFlight;
     const auto position
--- a/src/protocol/gateway_dump.cpp
+++ b/src/protocol/gateway_dump.cpp
@@ -25,6 +25,8 @@
         described["cold_for_ms"] = milliseconds(server.coldUntil - now);
     if (server.ejectedUntil && now < *server.ejectedUntil)
         described["avoided_for_ms"] = milliseconds(*server.ejectedUntil - now);
+    if (server.limitPerSecond)
+        described["limit_per_second"] = *server.limitPerSecond;
     if (server.removeAt)
         described["unregistered"] = true;
     if (server.report)
--- a/src/protocol/server_http_messages.cpp
+++ b/src/protocol/server_http_messages.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 
 #include <fmt/format.h>
 
@@ -23,6 +24,20 @@
     return load && format.parseLoad ? format.parseLoad(*load) : std::nullopt;
 }
 
+state::gateway::limit_report readLimit(const server_http_format& format, const http::message& answer)
+{
+    using state::gateway::limit_statement;
+    const auto text = findHeader(answer, format.names.requestLimit);
+    if (!text)
+        return {};
+    double perSecond = 0;
+    const auto* const last = text->data() + text->size();
+    const auto [end, error] = std::from_chars(text->data(), last, perSecond, std::chars_format::fixed);
+    if (error != std::errc {} || end != last || !std::isfinite(perSecond) || perSecond < 0)
+        return { limit_statement::unreadable, 0 };
+    return { limit_statement::named, perSecond };
+}
+
 state::duration readMilliseconds(std::optional<std::string_view> text)
 {
     std::int64_t milliseconds = 0;
@@ -70,6 +85,7 @@
     else
         finished.outcome = answer.status == statusOk ? probe_outcome::healthy : probe_outcome::unhealthy;
     finished.report = parseLoad(format, answer);
+    finished.limit = readLimit(format, answer);
     finished.coldRemaining = readMilliseconds(findHeader(answer, format.names.coldRemaining));
     return finished;
 }
@@ -79,6 +95,7 @@
     coordination::gateway::attempt_finished finished;
     finished.status = answer.status;
     finished.report = parseLoad(format, answer);
+    finished.limit = readLimit(format, answer);
     const bool success = answer.status >= statusOk && answer.status < firstNonSuccessStatus;
     const bool isSigned = findHeader(answer, format.names.signature).has_value();
     const bool hasId = findHeader(answer, format.names.requestId).has_value();
--- a/src/protocol/server_http_messages.hpp
+++ b/src/protocol/server_http_messages.hpp
@@ -20,6 +20,8 @@
     std::string load = "Acaciaslip-Load";
     std::string signature = "Acaciaslip-Signature"; ///< server's signature over its response
     std::string serverId = "Acaciaslip-Server";
+    std::string requestLimit
+        = "Acaciaslip-Limit"; ///< requests per second that the server takes from all hosts together
     std::string coldRemaining = "Acaciaslip-Cold-Ms"; ///< remaining cold period of the server, in milliseconds
 };
 
--- a/src/state/gateway/server_state.hpp
+++ b/src/state/gateway/server_state.hpp
@@ -17,6 +17,20 @@
     time_point receivedAt;
 };
 
+/// What a response says about the requests that the server takes from all hosts together.
+enum class limit_statement {
+    none, ///< it names no limit
+    named,
+    unreadable, ///< it names a limit that is not a number: the last known one still applies
+};
+
+struct limit_report {
+    limit_statement statement = limit_statement::none;
+    double perSecond = 0; ///< requests per second; only if named
+
+    [[nodiscard]] bool operator==(const limit_report&) const = default;
+};
+
 /// State of a registered server as known to this node.
 struct server_state {
     server_entry entry;
@@ -32,6 +46,8 @@
     time_point coldUntil; ///< the server is warm from this time on, unless it reports otherwise
     std::optional<time_point> lastColdSendAt; ///< when this node last sent it a request while it was cold
 
+    std::optional<double> limitPerSecond; ///< requests per second that it takes from all hosts together, if it says so
+
     double slowdownFactor
         = 1; ///< ratio of observed duration to the duration expected from the load report, moving average
     time_point slowdownFactorAt;
--- a/tests/coordination/gateway/request_flow_test.cpp
+++ b/tests/coordination/gateway/request_flow_test.cpp
@@ -181,5 +181,32 @@
     EXPECT_GT(refusal.retryAfter, 0ms);
 }
 
+/// A limit ends with a regular answer that does not name it; a refusal, a misdirected answer or an unreadable value
+/// does not end it.
+TEST_F(request_flow_test, Server_NamesLimit_LastsUntilRegularAnswerWithoutIt)
+{
+    using state::gateway::limit_statement;
+    publishServers(1);
+    const auto& server = m_node.servers.at("s0");
+    const auto answer = [&](state::attempt_outcome outcome, int status, state::gateway::limit_report limit) {
+        m_now += 20s;
+        attempt_finished finished;
+        finished.id = startAndSend().id;
+        finished.outcome = outcome;
+        finished.status = status;
+        finished.limit = limit;
+        handleEvent(finished);
+        return server.limitPerSecond;
+    };
+    using state::attempt_outcome;
+    EXPECT_EQ(answer(attempt_outcome::answered, 200, { limit_statement::named, 1.5 }), 1.5);
+    EXPECT_EQ(answer(attempt_outcome::shed, 503, {}), 1.5);
+    EXPECT_EQ(answer(attempt_outcome::shed, 421, { limit_statement::named, 7 }), 1.5);
+    EXPECT_EQ(answer(attempt_outcome::answered, 500, {}), 1.5);
+    EXPECT_EQ(answer(attempt_outcome::answered, 200, { limit_statement::unreadable, 0 }), 1.5);
+    EXPECT_EQ(answer(attempt_outcome::shed, 503, { limit_statement::named, 2 }), 2);
+    EXPECT_EQ(answer(attempt_outcome::answered, 200, {}), std::nullopt);
+}
+
 } // namespace
 } // namespace acaciaslip::coordination::gateway
--- a/tests/protocol/server_http_messages_test.cpp
+++ b/tests/protocol/server_http_messages_test.cpp
@@ -67,6 +67,21 @@
     EXPECT_EQ(readAttemptAnswer(m_format, m_answer).outcome, attempt_outcome::shed);
 }
 
+TEST_F(server_http_messages_test, Response_WithLimit_LimitReadFromAnswersAndProbes)
+{
+    using state::gateway::limit_statement;
+    EXPECT_EQ(readAttemptAnswer(m_format, m_answer).limit.statement, limit_statement::none);
+    m_answer.headers.push_back({ "acaciaslip-limit", "1.5" });
+    EXPECT_EQ(
+        readAttemptAnswer(m_format, m_answer).limit, (state::gateway::limit_report { limit_statement::named, 1.5 }));
+    EXPECT_EQ(readProbeAnswer(m_format, m_answer, "s7").limit,
+        (state::gateway::limit_report { limit_statement::named, 1.5 }));
+    for (const auto* text : { "", "a", "-1", "1.5x", "inf", "nan", "1e9999", "0x10" }) {
+        m_answer.headers.back().value = text;
+        EXPECT_EQ(readAttemptAnswer(m_format, m_answer).limit.statement, limit_statement::unreadable) << text;
+    }
+}
+
 TEST_F(server_http_messages_test, Response_Misdirected_OutcomeShed)
 {
     m_answer.status = 421;
