--- a/tests/coordination/gateway/simulated_hosts.hpp
+++ b/tests/coordination/gateway/simulated_hosts.hpp
@@ -103,6 +103,28 @@
         return watchers;
     }
 
+    /// Sends an event to a host and carries out the effects.
+    void handleEvent(const std::string& ip, const event& received)
+    {
+        auto& node = nodes.at(ip);
+        effect_list effects;
+        handle(node, received, now, m_random.at(ip), effects);
+        for (const auto& requested : effects) {
+            if (const auto* sent = std::get_if<send_peer_message>(&requested))
+                deliver(ip, sent->ip, sent->message);
+            else if (const auto* fetched = std::get_if<fetch_fleet>(&requested))
+                serveFetch(ip, *fetched);
+            else if (const auto* watch = std::get_if<watch_store>(&requested))
+                recordWatch(ip, *watch);
+            else if (const auto* line = std::get_if<log_event>(&requested))
+                ++linesLogged[line->name];
+            else if (otherEffects)
+                otherEffects(ip, requested);
+        }
+    }
+
+    std::function<void(const std::string& ip, const effect&)>
+        otherEffects; ///< of requests; nothing carries them out here
     std::map<std::string, gateway_node> nodes;
     state::gateway::published_fleet store;
     std::set<std::string> storeRefuses; ///< hosts whose calls the store refuses
@@ -161,23 +183,6 @@
         return until != m_silentUntil.end() && now < until->second;
     }
 
-    void handleEvent(const std::string& ip, const event& received)
-    {
-        auto& node = nodes.at(ip);
-        effect_list effects;
-        handle(node, received, now, m_random.at(ip), effects);
-        for (const auto& requested : effects) {
-            if (const auto* sent = std::get_if<send_peer_message>(&requested))
-                deliver(ip, sent->ip, sent->message);
-            else if (const auto* fetched = std::get_if<fetch_fleet>(&requested))
-                serveFetch(ip, *fetched);
-            else if (const auto* watch = std::get_if<watch_store>(&requested))
-                recordWatch(ip, *watch);
-            else if (const auto* line = std::get_if<log_event>(&requested))
-                ++linesLogged[line->name];
-        }
-    }
-
     void recordWatch(const std::string& ip, const watch_store& watch)
     {
         if (!watch.follow)
