Let hosts take turns at a server that names a limit

What callers saw: little.

Cause, a bound on the fleet that no host applies: Server-Limit was passed on to callers and otherwise ignored. The logs agree: the pace of sends before and after the limit was named is about the same, and 50 of 51 were first sends.

Change: hosts take turns as they do at cold servers; the time slots are now request_slots, used by both. A cold server's slots are counted from the moment at which it is warm, which it tells every host; a limit has no such moment, the time of day may jump, and steady clocks differ. Heartbeats therefore carry a time that all hosts share (fleet_clock): the host that is ahead is followed, a host that starts adopts it. Neighbouring ranks are spread over the interval, so that hosts that know another number of hosts for a while do not send in a row twice. For 10 s after its start a host assumes at least 64 hosts. An equal share for each host was ruled out: hundreds of hosts with a share far below one request may all use it in the same second. When all servers of a service have named limits, a request waits for this host's next turn if it can then still meet its objective, and is refused as overloaded otherwise.

--- a/src/coordination/gateway/cold_admission.hpp
+++ b/src/coordination/gateway/cold_admission.hpp
@@ -1,18 +1,12 @@
 #pragma once
 
+#include "coordination/gateway/request_slots.hpp"
 #include "state/time.hpp"
 
-#include <cstdint>
 #include <optional>
 
 namespace acaciaslip::coordination::gateway {
 
-/// This host's share of the fleet's budgets.
-struct host_share {
-    std::uint32_t hosts = 1;
-    std::uint32_t rank = 0; ///< position among the hosts, starting at 0
-};
-
 /// When many servers of a service restart at once, all of them are cold, and without coordination every host would send
 /// to them in the same second. Instead each host has its own time slots, counted backwards from the moment at which the
 /// server is warm, which is the same on all hosts. Unused slots expire.
--- a/src/coordination/gateway/membership.cpp
+++ b/src/coordination/gateway/membership.cpp
@@ -1,5 +1,6 @@
 #include "coordination/gateway/membership.hpp"
 
+#include "coordination/gateway/fleet_clock.hpp"
 #include "coordination/gateway/fleet_relay.hpp"
 #include "coordination/gateway/fleet_view.hpp"
 #include "coordination/gateway/peer_log.hpp"
@@ -143,6 +144,7 @@
     made.store = findStoreAccess(self);
     made.storeUnsettled = self.storeLostAt || now < self.storeRecoveringUntil;
     made.asOf = self.published.asOf;
+    made.fleetTime = fleetTime(self, now);
     std::vector<state::gateway::known_peer> known;
     for (const auto& [ip, peer] : self.peers) {
         if (!peer.leaving)
@@ -172,6 +174,7 @@
     }
     if (message.storeUnsettled)
         extendStoreRecovery(self, now);
+    adoptFleetTime(self, message.fleetTime, now);
     countHosts(self, now);
     applyRelayedChanges(self, message, now, random, effects);
     if (message.replyRequested)
@@ -184,6 +187,7 @@
     if (now < self.membership.nextGossipAt || self.settings.ip.empty())
         return;
     removeTimedOutPeers(self, now, effects);
+    startFleetClock(self, now);
     countHosts(self, now);
     gossip(self, now, random, effects);
     if (self.published.asOf == 0 || hasNoPeers(self)) {
--- a/src/coordination/gateway/node.hpp
+++ b/src/coordination/gateway/node.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "coordination/forward_declarations.hpp"
-#include "coordination/gateway/cold_admission.hpp"
 #include "coordination/gateway/effects.hpp"
 #include "coordination/gateway/events.hpp"
+#include "coordination/gateway/request_slots.hpp"
 #include "coordination/gateway/retry_budget.hpp"
 #include "coordination/gateway/settings.hpp"
 #include "coordination/gateway/traffic_split.hpp"
@@ -99,12 +99,18 @@
 /// Until the number of hosts is known, budgets are divided by the size of a large fleet.
 inline constexpr std::uint32_t assumedHosts = 64;
 
+/// State of the clock that all hosts share; see `fleet_clock.hpp`.
+struct fleet_clock {
+    std::optional<state::duration> offset; ///< to the node's own clock; empty until the fleet's time is known
+};
+
 /// Complete state of one node: plain data, modified only by `handle`.
 struct gateway_node {
     node_settings settings;
     host_share share { assumedHosts, 0 }; ///< this host's share of the fleet's budgets
     std::map<state::gateway::peer_ip, state::gateway::peer_state> peers; ///< every other known host
     membership_state membership;
+    fleet_clock clock;
     store_watch storeWatch;
     fetch_state fetch;
     node_phase phase = node_phase::starting;
--- a/src/coordination/gateway/probe_targets.cpp
+++ b/src/coordination/gateway/probe_targets.cpp
@@ -1,6 +1,8 @@
 #include "coordination/gateway/probe_targets.hpp"
 
+#include "coordination/gateway/cold_admission.hpp"
 #include "coordination/gateway/server_health.hpp"
+#include "coordination/gateway/server_limit.hpp"
 
 #include <algorithm>
 #include <limits>
@@ -25,6 +27,7 @@
 constexpr double rankSlowReport = 2;
 constexpr double rankSlowServer = 2;
 constexpr double rankFailing = 3;
+constexpr double rankLimited = 3; ///< a server that names a limit is in need
 constexpr double rankCold = 20;
 constexpr double rankEjected = 50;
 
@@ -49,6 +52,16 @@
     return hash % members < subsetSize;
 }
 
+bool mayReceiveWhileCold(
+    const gateway_node& self, const state::gateway::server_state& server, state::time_point now) noexcept
+{
+    if (now >= server.coldUntil)
+        return true;
+    const auto* service = self.config ? state::gateway::findService(*self.config, server.entry.service) : nullptr;
+    const double perSecond = service != nullptr ? service->coldRequestsPerSecond : 0;
+    return mayUseColdSlot(server.coldUntil, perSecond, self.share, server.lastColdSendAt, now);
+}
+
 double computeRank(
     const gateway_node& self, const state::gateway::server_state& server, std::size_t members, state::time_point now)
 {
@@ -62,6 +75,8 @@
         rank += rankSlowServer;
     if (currentFailureRate(server, now) >= failingServerThreshold)
         rank += rankFailing;
+    if (server.limitPerSecond)
+        rank += rankLimited;
     if (now < server.coldUntil)
         rank += rankCold;
     if (isEjected(server, now))
@@ -76,14 +91,28 @@
     return !server.entry.draining && !server.evacuated && (!server.removeAt || now < *server.removeAt);
 }
 
-bool mayReceiveWhileCold(
-    const gateway_node& self, const state::gateway::server_state& server, state::time_point now) noexcept
+bool isAdmitted(const gateway_node& self, const state::gateway::server_state& server, state::time_point now) noexcept
 {
-    if (now >= server.coldUntil)
-        return true;
-    const auto* service = self.config ? state::gateway::findService(*self.config, server.entry.service) : nullptr;
-    const double perSecond = service != nullptr ? service->coldRequestsPerSecond : 0;
-    return mayUseColdSlot(server.coldUntil, perSecond, self.share, server.lastColdSendAt, now);
+    return mayReceiveWhileCold(self, server, now) && timeUntilWithinLimit(self, server, now) == state::duration::zero();
+}
+
+std::optional<state::duration> timeUntilLimitedServer(
+    const gateway_node& self, const state::gateway::pending_request& request, state::time_point now)
+{
+    std::optional<state::duration> shortest;
+    const auto service = self.services.find(request.service);
+    if (service == self.services.end())
+        return shortest;
+    for (const auto& id : service->second.members) {
+        const auto& server = self.servers.at(id);
+        if (!server.limitPerSecond || contains(request.tried, id) || !isEligible(server, now) || isEjected(server, now)
+            || !mayReceiveWhileCold(self, server, now))
+            continue;
+        const auto wait = timeUntilWithinLimit(self, server, now);
+        if (wait > state::duration::zero())
+            shortest = std::min(shortest.value_or(wait), wait);
+    }
+    return shortest;
 }
 
 std::vector<state::host_id> chooseServersToProbe(const gateway_node& self,
@@ -101,8 +130,7 @@
     for (const auto& id : service->second.members) {
         const auto& server = self.servers.at(id);
         const bool probed = request.round && contains(request.round->probed, id);
-        if (probed || contains(request.tried, id) || !isEligible(server, now)
-            || !mayReceiveWhileCold(self, server, now))
+        if (probed || contains(request.tried, id) || !isEligible(server, now) || !isAdmitted(self, server, now))
             continue;
         const double randomPart = random() / (std::numeric_limits<std::uint32_t>::max() + 1.0);
         candidates.push_back({ computeRank(self, server, service->second.members.size(), now) + randomPart, &id });
--- a/src/coordination/gateway/probe_targets.hpp
+++ b/src/coordination/gateway/probe_targets.hpp
@@ -4,6 +4,7 @@
 #include "coordination/gateway/node.hpp"
 
 #include <cstddef>
+#include <optional>
 #include <vector>
 
 namespace acaciaslip::coordination::gateway {
@@ -11,10 +12,15 @@
 /// Whether a server may receive new requests at all.
 [[nodiscard]] bool isEligible(const state::gateway::server_state& server, state::time_point now) noexcept;
 
-/// Whether this node may send one more request to a cold server now; always true for warm servers.
-[[nodiscard]] bool mayReceiveWhileCold(
+/// Whether this node may send one more request to a server now, as far as the server is cold or has named a limit.
+[[nodiscard]] bool isAdmitted(
     const gateway_node& self, const state::gateway::server_state& server, state::time_point now) noexcept;
 
+/// Time until the first of a request's servers is admitted whose limit alone stands against it now.
+/// \return empty if no server is in this state
+[[nodiscard]] std::optional<state::duration> timeUntilLimitedServer(
+    const gateway_node& self, const state::gateway::pending_request& request, state::time_point now);
+
 /// Chooses the servers to probe, best candidates first. Servers in the own data centre that are reachable and not known
 /// to be slow or failing are preferred; ties are broken at random so that hosts do not all probe the same servers.
 /// \param maxCount maximum number of servers to choose
--- a/src/coordination/gateway/probing.cpp
+++ b/src/coordination/gateway/probing.cpp
@@ -54,7 +54,7 @@
     candidate best;
     for (const auto& id : request.round->answered) {
         const auto* server = findServer(self, id);
-        if (server == nullptr || !isEligible(*server, now) || !mayReceiveWhileCold(self, *server, now)
+        if (server == nullptr || !isEligible(*server, now) || !isAdmitted(self, *server, now)
             || contains(request.tried, id))
             continue;
         const auto estimate = estimateCompletion(*server, typical, now);
@@ -99,6 +99,20 @@
     round.decideAt = now + window;
 }
 
+/// When all servers of a service have named limits, the request waits for this node's next turn if it can then still
+/// meet its objective, and is refused otherwise.
+void waitForTurn(gateway_node& self, pending_request& request, state::duration wait, state::time_point now,
+    random_generator& random, effect_list& effects)
+{
+    effects.emplace_back(describeProbePause(request, "limited", wait, now));
+    request.round.reset();
+    const auto typical = typicalServiceTime(self, request.service, request.matched->objective);
+    if (now + wait + typical > request.objectiveAt)
+        return endWithRefusal(self, request, state::refusal_reason::overloaded, now, random, effects);
+    request.probeAgainAt = now + std::max<state::duration>(wait, minPause);
+    schedule(self, request);
+}
+
 /// When no server has answered, schedules another round or refuses the request.
 void resolveNoAnswer(
     gateway_node& self, pending_request& request, state::time_point now, random_generator& random, effect_list& effects)
@@ -108,6 +122,11 @@
         return schedule(self, request);
     }
     const bool noServer = request.round->probed.empty();
+    // Another request may have used this node's turn at a server that has answered.
+    const bool allAnswered = request.round->answered.size() == request.round->probed.size();
+    const auto turn = allAnswered ? timeUntilLimitedServer(self, request, now) : std::nullopt;
+    if (turn)
+        return waitForTurn(self, request, *turn, now, random, effects);
     effects.emplace_back(describeProbePause(request, noServer ? "nobody_to_ask" : "no_answer", {}, now));
     request.round.reset();
     if (noServer || request.rounds >= maxUnansweredRounds)
--- a/src/coordination/gateway/server_load.cpp
+++ b/src/coordination/gateway/server_load.cpp
@@ -79,6 +79,7 @@
     ++known->sentSinceReport;
     if (now < known->coldUntil)
         known->lastColdSendAt = now;
+    known->lastSendAt = now;
 }
 
 void recordSendFinished(gateway_node& self, const state::host_id& server)
--- a/src/protocol/gateway_peer.thrift
+++ b/src/protocol/gateway_peer.thrift
@@ -92,4 +92,5 @@
   9: optional fleet_delta delta
   10: optional bool storeUnsettled
   11: required list<string> dataCentres
+  12: optional i64 fleetTime
 }
--- a/src/protocol/gateway_peer_codec.cpp
+++ b/src/protocol/gateway_peer_codec.cpp
@@ -47,6 +47,14 @@
     return std::chrono::microseconds { microseconds };
 }
 
+state::time_point toFleetTime(std::int64_t microseconds)
+{
+    constexpr std::int64_t maxMicroseconds = 1'000'000'000'000'000; // 30 years of a fleet without a stop
+    if (microseconds < 0 || microseconds > maxMicroseconds)
+        throw range_error("fleet time out of range");
+    return state::time_point { std::chrono::microseconds { microseconds } };
+}
+
 wire::route toWire(const fleet::route& route)
 {
     wire::route wireStruct;
@@ -219,6 +227,8 @@
     if (heartbeat.storeUnsettled)
         wireStruct.__set_storeUnsettled(true);
     wireStruct.asOf = static_cast<std::int64_t>(heartbeat.asOf);
+    if (heartbeat.fleetTime)
+        wireStruct.__set_fleetTime(toMicroseconds(heartbeat.fleetTime->time_since_epoch()));
     for (const auto& peer : heartbeat.peers) {
         in_addr address {};
         if (inet_pton(AF_INET, peer.ip.c_str(), &address) != 1)
@@ -246,6 +256,8 @@
     heartbeat.store = static_cast<fleet::store_access>(wireStruct.store);
     heartbeat.storeUnsettled = wireStruct.__isset.storeUnsettled && wireStruct.storeUnsettled;
     heartbeat.asOf = checked<state::revision>(wireStruct.asOf);
+    if (wireStruct.__isset.fleetTime)
+        heartbeat.fleetTime = toFleetTime(wireStruct.fleetTime);
     for (const auto& peer : wireStruct.peers) {
         if (peer.age < 0 || peer.dataCentre < 0
             || static_cast<std::size_t>(peer.dataCentre) >= wireStruct.dataCentres.size())
--- a/src/state/gateway/peer_heartbeat.hpp
+++ b/src/state/gateway/peer_heartbeat.hpp
@@ -50,6 +50,7 @@
     /// The store is unavailable or has just recovered, so entries may have expired only because of that.
     bool storeUnsettled = false;
     revision asOf = 0; ///< revision up to which the sender knows the published fleet
+    std::optional<time_point> fleetTime; ///< the sender's view of the time that all hosts share
     std::vector<known_peer> peers; ///< a sample of the hosts that the sender knows
     std::optional<fleet_delta> delta; ///< the latest changes
 
--- a/src/state/gateway/server_state.hpp
+++ b/src/state/gateway/server_state.hpp
@@ -47,6 +47,7 @@
     std::optional<time_point> lastColdSendAt; ///< when this node last sent it a request while it was cold
 
     std::optional<double> limitPerSecond; ///< requests per second that it takes from all hosts together, if it says so
+    std::optional<time_point> lastSendAt; ///< when this node last sent it a request
 
     double slowdownFactor
         = 1; ///< ratio of observed duration to the duration expected from the load report, moving average
--- a/tests/coordination/gateway/probing_test.cpp
+++ b/tests/coordination/gateway/probing_test.cpp
@@ -172,5 +172,40 @@
         EXPECT_EQ(server.consecutiveFailures, 0U) << id;
 }
 
+/// A request must neither exceed the limit of the only server nor be refused although this host's turn is near.
+TEST_F(gateway_probing_test, Server_OnlyOneNamesLimit_RequestsWaitForTurnOrAreRefusedAsOverloaded)
+{
+    advanceTime(12s);
+    publishServers(1);
+    const auto answer = [this](const send_request& sent) {
+        attempt_finished finished;
+        finished.id = sent.id;
+        finished.outcome = state::attempt_outcome::answered;
+        finished.status = 200;
+        finished.limit = { state::gateway::limit_statement::named, 5 };
+        handleEvent(finished);
+    };
+    answer(startAndSend());
+    m_effects.clear();
+    std::size_t sent = 0;
+    std::size_t refused = 0;
+    for (int request = 0; request < 100; ++request) {
+        startRequest();
+        advanceTime(20ms);
+        answerProbes();
+        for (const auto& send : takeEffects<send_request>()) {
+            answer(send);
+            ++sent;
+        }
+        for (const auto& refusal : takeEffects<refuse_caller>()) {
+            EXPECT_EQ(refusal.reason, state::refusal_reason::overloaded);
+            ++refused;
+        }
+    }
+    EXPECT_LE(sent, 11U);
+    EXPECT_GE(sent, 8U);
+    EXPECT_GE(refused, 40U);
+}
+
 } // namespace
 } // namespace acaciaslip::coordination::gateway
--- a/tests/coordination/gateway/server_limit_test.cpp
+++ b/tests/coordination/gateway/server_limit_test.cpp
@@ -195,5 +195,63 @@
     testing::Values(limit_case { 3, 1 }, limit_case { 15, 0.5 }, limit_case { 15, 1 }, limit_case { 15, 1.7 },
         limit_case { 15, 5 }, limit_case { 99, 1 }, limit_case { 99, 4 }, limit_case { 312, 1.5 }));
 
+/// When every server names a limit, callers must still get what the servers take together.
+TEST(server_limit_demand_test, Servers_AllNameLimits_MostOfTheirRateIsUsed)
+{
+    constexpr std::size_t servers = 9;
+    constexpr double perSecond = 2;
+    limited_fleet fleet { 15, servers, 60 };
+    fleet.run(20s);
+    fleet.limit(servers, perSecond);
+    fleet.run(10s);
+    fleet.sentToLimited = 0;
+    fleet.run(30s);
+    EXPECT_LE(static_cast<double>(fleet.mostReceived), mostAllowed(perSecond));
+    EXPECT_GE(static_cast<double>(fleet.sentToLimited), 0.8 * 30 * perSecond * servers);
+}
+
+class server_limit_restart_test : public testing::TestWithParam<std::size_t> { };
+
+/// Guards against a limit that restarted hosts exceed because they know neither the fleet's time nor its size.
+TEST_P(server_limit_restart_test, Hosts_RestartInTurn_LimitIsKept)
+{
+    limited_fleet fleet { GetParam(), 9, 60 };
+    fleet.run(20s);
+    fleet.limit(2, 1);
+    fleet.run(5s);
+    for (std::size_t index = 0; index < GetParam(); ++index) {
+        fleet.restart(index);
+        fleet.run(400ms);
+    }
+    fleet.run(10s);
+    EXPECT_LE(static_cast<double>(fleet.mostReceived), mostAllowed(1));
+}
+
+TEST_P(server_limit_restart_test, Hosts_AllRestartAtOnce_LimitIsKept)
+{
+    limited_fleet fleet { GetParam(), 9, 60 };
+    fleet.run(20s);
+    fleet.limit(2, 1);
+    fleet.run(5s);
+    for (std::size_t index = 0; index < GetParam(); ++index)
+        fleet.restart(index);
+    fleet.run(25s);
+    EXPECT_LE(static_cast<double>(fleet.mostReceived), mostAllowed(1));
+}
+
+/// The others must not take over the share of lost hosts before all of them know that these are gone.
+TEST_P(server_limit_restart_test, Hosts_DataCentreIsLost_LimitIsKept)
+{
+    limited_fleet fleet { GetParam(), 9, 60 };
+    fleet.run(20s);
+    fleet.limit(2, 1);
+    fleet.run(5s);
+    std::erase_if(fleet.hosts.nodes, [](const auto& entry) { return entry.second.settings.dataCentre == "b"; });
+    fleet.run(60s);
+    EXPECT_LE(static_cast<double>(fleet.mostReceived), mostAllowed(1));
+}
+
+INSTANTIATE_TEST_SUITE_P(Hosts, server_limit_restart_test, testing::Values(15, 99));
+
 } // namespace
 } // namespace acaciaslip::coordination::gateway
--- a/tests/protocol/gateway_peer_codec_test.cpp
+++ b/tests/protocol/gateway_peer_codec_test.cpp
@@ -40,6 +40,7 @@
         heartbeat.store = state::gateway::store_access::away;
         heartbeat.storeUnsettled = true;
         heartbeat.asOf = 5;
+        heartbeat.fleetTime = state::time_point { 700h };
         heartbeat.peers = { { "10.0.0.1", "dc-b", 1500ms } };
         return heartbeat;
     }
