Tell other hosts of a server's limit and of its end

Found by a test of the limit's end: a host learns of it only from an answer of the server, and the penalty in the choice of servers keeps it from asking. 20 s and more after nine servers had stopped naming limits, hosts still held most of them, and a limit that nobody tests lasts for good.

Change: heartbeats carry up to eight limits, or ends of limits within the last 30 s, with the fleet time at which the server said so; the latest statement wins, and a server's restart counts as one. A host so also learns of a limit before it sends there, for instance after its own restart. A limit that no host has seen confirmed for 3 s loses its penalty, so that the next turn is used to ask.

Tests: every host is free of the limits 30 s after their end (failed before); 30 hosts know a limit 10 s after it was named under 10 requests a second, and a restarted one after 3 s; a restarted server's earlier limit and notices that are older than the own answer or from the future are ignored. A heartbeat with 24 peers and 8 limits still fits into a datagram.

--- a/src/coordination/gateway/fleet_view.cpp
+++ b/src/coordination/gateway/fleet_view.cpp
@@ -1,5 +1,6 @@
 #include "coordination/gateway/fleet_view.hpp"
 
+#include "coordination/gateway/fleet_clock.hpp"
 #include "coordination/gateway/fleet_merge.hpp"
 
 #include <algorithm>
@@ -59,6 +60,7 @@
         const auto inFlight = server.ownInFlight;
         server = {};
         server.ownInFlight = inFlight;
+        server.limitSaidAt = fleetTime(self, now); // what other hosts heard before the restart no longer applies
         effects.emplace_back(describeServer("restarted", entry, number));
     } else if (added || drains)
         effects.emplace_back(describeServer(added ? "registered" : "draining", entry, number));
--- a/src/coordination/gateway/membership.cpp
+++ b/src/coordination/gateway/membership.cpp
@@ -4,6 +4,8 @@
 #include "coordination/gateway/fleet_relay.hpp"
 #include "coordination/gateway/fleet_view.hpp"
 #include "coordination/gateway/peer_log.hpp"
+#include "coordination/gateway/random_sample.hpp"
+#include "coordination/gateway/server_limit.hpp"
 #include "coordination/gateway/store_watch.hpp"
 
 #include <algorithm>
@@ -31,18 +33,6 @@
 /// budget shares of the others at once.
 constexpr state::duration hostCountHold = std::chrono::seconds { 20 };
 
-/// Returns a random sample of distinct entries.
-template <typename Item>
-std::vector<Item> pickRandom(std::vector<Item> from, std::size_t maxCount, random_generator& random)
-{
-    for (std::size_t index = 0; index < std::min(maxCount, from.size()); ++index) {
-        const auto other = index + random(static_cast<std::uint32_t>(from.size() - index));
-        std::swap(from[index], from[other]);
-    }
-    from.resize(std::min(maxCount, from.size()));
-    return from;
-}
-
 void recordPeer(
     gateway_node& self, const peer_ip& ip, const state::data_centre_id& dataCentre, state::time_point lastSeenAt)
 {
@@ -150,6 +140,7 @@
         if (!peer.leaving)
             known.push_back({ ip, peer.dataCentre, std::max(now - peer.lastSeenAt, state::duration {}) });
     }
+    made.limits = sampleLimits(self, now, random);
     made.peers = pickRandom(std::move(known), peersPerHeartbeat, random);
     return made;
 }
@@ -175,6 +166,7 @@
     if (message.storeUnsettled)
         extendStoreRecovery(self, now);
     adoptFleetTime(self, message.fleetTime, now);
+    adoptLimits(self, message.limits, now, effects);
     countHosts(self, now);
     applyRelayedChanges(self, message, now, random, effects);
     if (message.replyRequested)
--- a/src/coordination/gateway/probe_targets.cpp
+++ b/src/coordination/gateway/probe_targets.cpp
@@ -65,9 +65,12 @@
 double computeRank(
     const gateway_node& self, const state::gateway::server_state& server, std::size_t members, state::time_point now)
 {
-    double rank = server.entry.dataCentre == self.settings.dataCentre ? 0 : rankOtherDataCentre;
-    if (!isInSubset(self, server, members))
-        rank += rankOutsideSubset;
+    double rank = 0;
+    if (!isLimitUnconfirmed(self, server, now)) {
+        rank += server.entry.dataCentre == self.settings.dataCentre ? 0 : rankOtherDataCentre;
+        rank += isInSubset(self, server, members) ? 0 : rankOutsideSubset;
+        rank += server.limitPerSecond ? rankLimited : 0;
+    }
     const bool isFresh = server.report && now - server.report->receivedAt < reportFreshness;
     if (isFresh && (server.report->slowdown >= slowReportThreshold || isFull(*server.report)))
         rank += rankSlowReport;
@@ -75,8 +78,6 @@
         rank += rankSlowServer;
     if (currentFailureRate(server, now) >= failingServerThreshold)
         rank += rankFailing;
-    if (server.limitPerSecond)
-        rank += rankLimited;
     if (now < server.coldUntil)
         rank += rankCold;
     if (isEjected(server, now))
--- a/src/coordination/gateway/probing.cpp
+++ b/src/coordination/gateway/probing.cpp
@@ -9,6 +9,7 @@
 #include "coordination/gateway/retry_after.hpp"
 #include "coordination/gateway/sending.hpp"
 #include "coordination/gateway/server_health.hpp"
+#include "coordination/gateway/server_limit.hpp"
 #include "coordination/gateway/server_load.hpp"
 
 #include <algorithm>
@@ -219,7 +220,7 @@
     server->coldUntil = now + finished.coldRemaining;
     if (finished.report)
         recordLoadReport(self, finished.server, *finished.report, now);
-    recordProbeLimit(self, finished.server, finished.limit, effects);
+    recordProbeLimit(self, finished.server, finished.limit, now, effects);
 }
 
 } // namespace
--- a/src/coordination/gateway/request_flow.cpp
+++ b/src/coordination/gateway/request_flow.cpp
@@ -8,6 +8,7 @@
 #include "coordination/gateway/route_lookup.hpp"
 #include "coordination/gateway/sending.hpp"
 #include "coordination/gateway/server_health.hpp"
+#include "coordination/gateway/server_limit.hpp"
 #include "coordination/gateway/server_load.hpp"
 
 #include <algorithm>
@@ -197,7 +198,7 @@
     recordSendFinished(self, server);
     if (finished.report)
         recordLoadReport(self, server, *finished.report, now);
-    recordAnswerLimit(self, server, finished, effects);
+    recordAnswerLimit(self, server, finished, now, effects);
     auto& request = self.requests.at(static_cast<std::uint64_t>(requestId));
     auto& inFlight = request.attemptsInFlight;
     const auto position
--- a/src/coordination/gateway/server_limit.cpp
+++ b/src/coordination/gateway/server_limit.cpp
@@ -1,10 +1,14 @@
 #include "coordination/gateway/server_limit.hpp"
 
 #include "coordination/gateway/fleet_clock.hpp"
+#include "coordination/gateway/random_sample.hpp"
+#include "coordination/gateway/server_load.hpp"
 
 #include <algorithm>
 #include <numeric>
+#include <utility>
 
+#include <fmt/format.h>
 #include <xxhash.h>
 
 namespace acaciaslip::coordination::gateway {
@@ -16,6 +20,65 @@
 /// While the fleet's time is unknown, limited servers receive nothing.
 constexpr state::duration clockRetryDelay = std::chrono::milliseconds { 100 };
 constexpr double goldenRatio = 0.618;
+constexpr state::duration confirmationTime = std::chrono::seconds { 3 }; ///< after which a limit counts as unconfirmed
+constexpr state::duration endNoticeTime = std::chrono::seconds { 30 }; ///< in which gossip reaches every host
+constexpr std::size_t limitsPerHeartbeat = 8; ///< keeps it within one datagram
+
+using state::gateway::limit_notice;
+using state::gateway::limit_report;
+using state::gateway::limit_statement;
+using state::gateway::server_state;
+
+constexpr int statusMisdirected = 421; ///< the response comes from another server
+constexpr int firstServerError = 500;
+
+log_event describeLimit(
+    const gateway_node& self, const state::host_id& server, std::string perSecond, std::string_view from)
+{
+    return { log_level::info, "server_limit",
+        { { "server", server }, { "per_second", std::move(perSecond) }, { "from", std::string(from) },
+            { "hosts", std::to_string(self.share.hosts) } } };
+}
+
+/// Stores the latest statement, and logs a change.
+void setLimit(gateway_node& self, server_state& server, std::optional<double> perSecond,
+    std::optional<state::time_point> saidAt, std::string_view from, effect_list& effects)
+{
+    server.limitSaidAt = saidAt;
+    if (server.limitPerSecond == perSecond)
+        return;
+    server.limitPerSecond = perSecond;
+    server.limitEndedAt = perSecond ? std::nullopt : saidAt;
+    effects.emplace_back(
+        describeLimit(self, server.entry.id, perSecond ? fmt::format("{}", *perSecond) : "none", from));
+}
+
+void recordNamedLimit(gateway_node& self, server_state& server, const limit_report& limit, std::string_view from,
+    state::time_point now, effect_list& effects)
+{
+    if (limit.statement == limit_statement::named)
+        setLimit(self, server, limit.perSecond, fleetTime(self, now), from, effects);
+    else if (limit.statement == limit_statement::unreadable)
+        effects.emplace_back(describeLimit(self, server.entry.id, "unreadable", from));
+}
+
+/// Whether other hosts should learn what this node knows of a server's limit.
+bool isWorthSharing(const server_state& server, state::time_point time)
+{
+    return server.limitSaidAt
+        && (server.limitPerSecond || (server.limitEndedAt && time - *server.limitEndedAt < endNoticeTime));
+}
+
+void adoptLimit(gateway_node& self, const limit_notice& notice, state::time_point time, effect_list& effects)
+{
+    auto* const server = findServer(self, notice.server);
+    if (server == nullptr || notice.saidAt > time)
+        return;
+    if (!server->limitSaidAt || notice.saidAt > *server->limitSaidAt)
+        return setLimit(self, *server, notice.perSecond, notice.saidAt, "peer", effects);
+    if (notice.perSecond && !server->limitPerSecond && !server->limitEndedAt)
+        server->limitEndedAt = server->limitSaidAt; // the sender does not know yet that the limit has ended
+}
 
 /// Spreads neighbouring ranks over the whole interval. Hosts that know a different number of hosts for a while are
 /// mostly neighbours, such as those of one data centre, and must not send in a row twice.
@@ -38,8 +101,58 @@
 
 } // namespace
 
+void recordAnswerLimit(gateway_node& self, const state::host_id& server, const attempt_finished& finished,
+    state::time_point now, effect_list& effects)
+{
+    auto* const known = findServer(self, server);
+    const bool answered = finished.outcome == state::attempt_outcome::answered;
+    const bool shed = finished.outcome == state::attempt_outcome::shed && finished.status != statusMisdirected;
+    if (known == nullptr || (!answered && !shed))
+        return;
+    if (finished.limit.statement != limit_statement::none)
+        return recordNamedLimit(self, *known, finished.limit, "answer", now, effects);
+    if (answered && finished.status < firstServerError)
+        setLimit(self, *known, std::nullopt, fleetTime(self, now), "answer", effects);
+}
+
+void recordProbeLimit(gateway_node& self, const state::host_id& server, const limit_report& limit,
+    state::time_point now, effect_list& effects)
+{
+    if (auto* const known = findServer(self, server))
+        recordNamedLimit(self, *known, limit, "probe", now, effects);
+}
+
+std::vector<limit_notice> sampleLimits(const gateway_node& self, state::time_point now, random_generator& random)
+{
+    std::vector<limit_notice> limits;
+    const auto time = fleetTime(self, now);
+    if (!time)
+        return limits;
+    for (const auto& [id, server] : self.servers) {
+        if (isWorthSharing(server, *time))
+            limits.push_back({ id, server.limitPerSecond, *server.limitSaidAt });
+    }
+    return pickRandom(std::move(limits), limitsPerHeartbeat, random);
+}
+
+void adoptLimits(
+    gateway_node& self, const std::vector<limit_notice>& limits, state::time_point now, effect_list& effects)
+{
+    const auto time = fleetTime(self, now);
+    if (!time)
+        return;
+    for (const auto& notice : limits)
+        adoptLimit(self, notice, *time, effects);
+}
+
+bool isLimitUnconfirmed(const gateway_node& self, const server_state& server, state::time_point now) noexcept
+{
+    const auto time = fleetTime(self, now);
+    return server.limitPerSecond && time && (!server.limitSaidAt || *time - *server.limitSaidAt >= confirmationTime);
+}
+
 state::duration timeUntilWithinLimit(
-    const gateway_node& self, const state::gateway::server_state& server, state::time_point now) noexcept
+    const gateway_node& self, const server_state& server, state::time_point now) noexcept
 {
     if (!server.limitPerSecond)
         return {};
--- a/src/coordination/gateway/store_watch.cpp
+++ b/src/coordination/gateway/store_watch.cpp
@@ -61,12 +61,14 @@
         || countBefore(self, store_access::away, now) >= maxTryingHosts;
 }
 
-/// Creates a heartbeat that contains a delta instead of known peers.
+/// Creates a heartbeat that contains a delta, if there is one, instead of known peers and limits.
 state::gateway::peer_heartbeat makeRelayHeartbeat(const gateway_node& self,
     const std::optional<state::gateway::fleet_delta>& delta, state::time_point now, random_generator& random)
 {
     auto heartbeat = makeHeartbeat(self, now, random);
     heartbeat.peers.clear();
+    if (delta)
+        heartbeat.limits.clear();
     heartbeat.delta = delta;
     return heartbeat;
 }
--- a/src/protocol/gateway_peer.thrift
+++ b/src/protocol/gateway_peer.thrift
@@ -79,6 +79,13 @@
   3: required i16 age
 }
 
+/** What a server has last said about its limit; without perSecond, it no longer names one. Fleet time. */
+struct limit_notice {
+  1: required string server
+  2: optional double perSecond
+  3: required i64 saidAt
+}
+
 /** One datagram. Its peers refer to their data centre by its index in the list dataCentres. */
 struct peer_heartbeat {
   1: required string sender
@@ -93,4 +100,5 @@
   10: optional bool storeUnsettled
   11: required list<string> dataCentres
   12: optional i64 fleetTime
+  13: optional list<limit_notice> limits
 }
--- a/src/protocol/gateway_peer_codec.cpp
+++ b/src/protocol/gateway_peer_codec.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <limits>
 
 #include <arpa/inet.h>
@@ -215,6 +216,27 @@
     return static_cast<std::int8_t>(index);
 }
 
+wire::limit_notice toWire(const fleet::limit_notice& notice)
+{
+    wire::limit_notice wireStruct;
+    wireStruct.server = notice.server;
+    if (notice.perSecond)
+        wireStruct.__set_perSecond(*notice.perSecond);
+    wireStruct.saidAt = toMicroseconds(notice.saidAt.time_since_epoch());
+    return wireStruct;
+}
+
+fleet::limit_notice fromWire(const wire::limit_notice& wireStruct)
+{
+    fleet::limit_notice notice { wireStruct.server, std::nullopt, toFleetTime(wireStruct.saidAt) };
+    if (!wireStruct.__isset.perSecond)
+        return notice;
+    if (!std::isfinite(wireStruct.perSecond) || wireStruct.perSecond < 0)
+        throw range_error("limit out of range");
+    notice.perSecond = wireStruct.perSecond;
+    return notice;
+}
+
 wire::peer_heartbeat toWire(const fleet::peer_heartbeat& heartbeat)
 {
     wire::peer_heartbeat wireStruct;
@@ -238,6 +260,9 @@
         added.dataCentre = findOrAppend(wireStruct.dataCentres, peer.dataCentre);
         added.age = static_cast<std::int16_t>(std::min<state::duration>(peer.age, maxAge) / ageUnit);
     }
+    for (const auto& notice : heartbeat.limits)
+        wireStruct.limits.push_back(toWire(notice));
+    wireStruct.__isset.limits = !heartbeat.limits.empty();
     if (heartbeat.delta)
         wireStruct.__set_delta(toWire(*heartbeat.delta));
     return wireStruct;
@@ -268,6 +293,8 @@
         heartbeat.peers.push_back(
             { ip.data(), wireStruct.dataCentres[static_cast<std::size_t>(peer.dataCentre)], peer.age * ageUnit });
     }
+    for (const auto& notice : wireStruct.limits)
+        heartbeat.limits.push_back(fromWire(notice));
     if (wireStruct.__isset.delta)
         heartbeat.delta = fromWire(wireStruct.delta);
     return heartbeat;
--- a/src/state/gateway/peer_heartbeat.hpp
+++ b/src/state/gateway/peer_heartbeat.hpp
@@ -39,6 +39,15 @@
     { store_access::away, "away" },
 } };
 
+/// What a server has last said about its limit, to any host.
+struct limit_notice {
+    host_id server;
+    std::optional<double> perSecond; ///< empty: it no longer names a limit
+    time_point saidAt; ///< fleet time
+
+    [[nodiscard]] bool operator==(const limit_notice&) const = default;
+};
+
 /// A heartbeat datagram between entry hosts.
 struct peer_heartbeat {
     peer_ip sender;
@@ -52,6 +61,7 @@
     revision asOf = 0; ///< revision up to which the sender knows the published fleet
     std::optional<time_point> fleetTime; ///< the sender's view of the time that all hosts share
     std::vector<known_peer> peers; ///< a sample of the hosts that the sender knows
+    std::vector<limit_notice> limits; ///< a sample of the limits that the sender knows
     std::optional<fleet_delta> delta; ///< the latest changes
 
     [[nodiscard]] bool operator==(const peer_heartbeat&) const = default;
--- a/src/state/gateway/server_state.hpp
+++ b/src/state/gateway/server_state.hpp
@@ -47,6 +47,9 @@
     std::optional<time_point> lastColdSendAt; ///< when this node last sent it a request while it was cold
 
     std::optional<double> limitPerSecond; ///< requests per second that it takes from all hosts together, if it says so
+    /// Fleet time of the latest response, to any host, that named a limit or could have.
+    std::optional<time_point> limitSaidAt;
+    std::optional<time_point> limitEndedAt; ///< fleet time; set while other hosts may still know a limit that has ended
     std::optional<time_point> lastSendAt; ///< when this node last sent it a request
 
     double slowdownFactor
--- a/tests/coordination/gateway/server_limit_test.cpp
+++ b/tests/coordination/gateway/server_limit_test.cpp
@@ -1,5 +1,8 @@
+#include "coordination/gateway/fleet_clock.hpp"
+#include "coordination/gateway/server_limit.hpp"
 #include "coordination/gateway/simulated_hosts.hpp"
 
+#include <algorithm>
 #include <deque>
 #include <ostream>
 
@@ -210,6 +213,68 @@
     EXPECT_GE(static_cast<double>(fleet.sentToLimited), 0.8 * 30 * perSecond * servers);
 }
 
+class server_limit_gossip_test : public testing::Test {
+protected:
+    /// Number of hosts that know a limit of the server.
+    std::size_t countHostsWithLimit(const std::string& server)
+    {
+        return static_cast<std::size_t>(
+            std::count_if(m_fleet.hosts.nodes.begin(), m_fleet.hosts.nodes.end(), [&](const auto& entry) {
+                const auto known = entry.second.servers.find(server);
+                return known != entry.second.servers.end() && known->second.limitPerSecond;
+            }));
+    }
+
+    limited_fleet m_fleet { 30, 9, 10 };
+};
+
+TEST_F(server_limit_gossip_test, Limit_NamedToSomeHosts_EveryHostKnowsItWithinTenSeconds)
+{
+    m_fleet.run(20s);
+    m_fleet.limit(1, 1);
+    m_fleet.run(10s);
+    EXPECT_EQ(countHostsWithLimit("s0"), 30U);
+    m_fleet.restart(4);
+    m_fleet.run(3s);
+    EXPECT_EQ(countHostsWithLimit("s0"), 30U) << "a restarted host learns it from others";
+}
+
+/// A restarted server has said nothing yet, and other hosts may still send what it said before.
+TEST_F(server_limit_gossip_test, Server_Restarts_EarlierLimitIsForgottenOnAllHosts)
+{
+    m_fleet.run(20s);
+    m_fleet.limit(1, 1);
+    m_fleet.run(10s);
+    m_fleet.endLimit();
+    auto& entry = m_fleet.hosts.store.servers.at("s0");
+    entry.revisionNumber = ++m_fleet.hosts.store.asOf;
+    entry.value->startedAtUnixMs = 2;
+    m_fleet.run(1s);
+    EXPECT_EQ(countHostsWithLimit("s0"), 0U);
+    m_fleet.run(5s);
+    EXPECT_EQ(countHostsWithLimit("s0"), 0U);
+}
+
+/// A notice may arrive after a later answer of the server, or claim a time that has not come.
+TEST_F(server_limit_gossip_test, Notice_OlderThanOwnAnswerOrFromFuture_IsIgnored)
+{
+    m_fleet.run(20s);
+    auto& node = m_fleet.hosts.nodes.at(simulated_hosts::ipOf(0));
+    const auto now = m_fleet.hosts.now;
+    const auto time = *fleetTime(node, now);
+    auto& server = node.servers.at("s0");
+    effect_list effects;
+    server.limitSaidAt = time - 2s;
+    adoptLimits(node, { { "s0", 1, time - 3s } }, now, effects);
+    EXPECT_FALSE(server.limitPerSecond);
+    EXPECT_TRUE(server.limitEndedAt) << "the sender must be told";
+    adoptLimits(node, { { "s0", 1, time + 1h } }, now, effects);
+    EXPECT_FALSE(server.limitPerSecond);
+    adoptLimits(node, { { "unknown", 1, time } }, now, effects);
+    adoptLimits(node, { { "s0", 1, time - 1s } }, now, effects);
+    EXPECT_EQ(server.limitPerSecond, 1);
+}
+
 class server_limit_restart_test : public testing::TestWithParam<std::size_t> { };
 
 /// Guards against a limit that restarted hosts exceed because they know neither the fleet's time nor its size.
@@ -253,5 +318,23 @@
 
 INSTANTIATE_TEST_SUITE_P(Hosts, server_limit_restart_test, testing::Values(15, 99));
 
+/// Hosts that a limit reached must be free of it some time after the server stops naming it.
+TEST(server_limit_end_test, Limit_NoLongerNamed_HostsReturnToServer)
+{
+    limited_fleet fleet { 15, 9, 60 };
+    fleet.run(20s);
+    fleet.limit(9, 1);
+    fleet.run(10s);
+    fleet.endLimit();
+    fleet.run(30s);
+    fleet.refused = 0;
+    fleet.run(10s);
+    EXPECT_EQ(fleet.refused, 0U);
+    for (const auto& [ip, node] : fleet.hosts.nodes) {
+        for (const auto& [id, server] : node.servers)
+            EXPECT_FALSE(server.limitPerSecond) << ip << " " << id;
+    }
+}
+
 } // namespace
 } // namespace acaciaslip::coordination::gateway
--- a/tests/protocol/gateway_peer_codec_test.cpp
+++ b/tests/protocol/gateway_peer_codec_test.cpp
@@ -41,6 +41,8 @@
         heartbeat.storeUnsettled = true;
         heartbeat.asOf = 5;
         heartbeat.fleetTime = state::time_point { 700h };
+        heartbeat.limits
+            = { { "s1", 1.5, state::time_point { 699h } }, { "s2", std::nullopt, state::time_point { 1h } } };
         heartbeat.peers = { { "10.0.0.1", "dc-b", 1500ms } };
         return heartbeat;
     }
@@ -68,6 +70,7 @@
 {
     auto heartbeat = makeHeartbeat();
     heartbeat.peers.assign(24, { "255.255.255.255", "a-data-centre", 14999ms });
+    heartbeat.limits.assign(8, { "a-server-id-of-usual-length", 1.5, state::time_point { 700h } });
     EXPECT_TRUE(encodeHeartbeat(heartbeat).ok());
 }
 
