Check limits and the newest configuration in the soak, and cut single hosts off the store

The soak's servers named no limits, its store failed for all hosts or none, and nothing showed whether a host still used an older configuration. Now servers name limits and stop doing so among the other faults, store faults hit one host or all, and after recovery one server of each service names a limit and half of the lookups use a route that only the newest version has. A server that runs more than its limit allows in four seconds, or a 404, breaks the run.

--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -28,7 +28,10 @@
 constexpr state::duration faultInterval = 350ms;
 constexpr state::duration settling = 4s; ///< time allowed for recovery after the last fault
 constexpr int callerPort = 18641;
+constexpr int statusNotFound = 404;
 constexpr double minServedShare = 0.9; ///< of the requests sent in the two seconds after recovery
+constexpr double limitAfterRecovery = 1.5; ///< requests per second that one server of each service names
+constexpr double maxRunsAtLimit = limitAfterRecovery * 1.5 * 4 + 5; ///< within four seconds
 
 /// One gateway process and its settings.
 struct gateway_host {
@@ -44,6 +47,7 @@
     std::map<std::string, int> faults;
     int sentAfterRecovery = 0;
     int servedAfterRecovery = 0;
+    std::vector<std::uint32_t> runsBeforeRecovery; ///< by server
 };
 
 /// One run with a seeded random generator.
@@ -59,7 +63,8 @@
         m_folder = std::filesystem::temp_directory_path() / fmt::format("acaciaslip-soak-{}-{}", ::getpid(), seed);
         std::filesystem::create_directories(m_folder);
         m_store = std::make_unique<store_standin>(&m_loop);
-        m_storeProxy = std::make_unique<fault_proxy>(&m_loop, m_store->address());
+        for (std::size_t index = 0; index < hosts; ++index)
+            m_storeProxies.push_back(std::make_unique<fault_proxy>(&m_loop, m_store->address()));
     }
 
     bool run()
@@ -76,9 +81,12 @@
         healAll();
         runFor(settling);
         m_recovered = true;
+        for (const auto& server : m_servers)
+            m_counts.runsBeforeRecovery.push_back(server->runs());
         runFor(2s);
         m_requestTimer.reset();
         runFor(1500ms);
+        checkLimits();
         return finish();
     }
 
@@ -105,13 +113,15 @@
                 m_serverProxies[index]->address(), server.service(), index % 2 == 0 ? "a" : "b", state));
     }
 
+    /// Publishes a new version. Only the newest one has a route for its own host name.
     void putConfiguration()
     {
-        const auto rule = [](const char* service, const char* kind) {
+        ++m_version;
+        const auto rule = [](const std::string& host, const char* service, const char* kind) {
             return fmt::format(
                 R"({{"host":"{0}.example","rules":[{{"name":"{0}","kind":"{1}","latency-slo":"300ms","priority":1,)"
-                R"("match":{{"path-prefix":"/"}},"action":{{"service":"{0}","timeout":"1s","attempts":2}}}}]}})",
-                service, kind);
+                R"("match":{{"path-prefix":"/"}},"action":{{"service":"{2}","timeout":"1s","attempts":2}}}}]}})",
+                host, kind, service);
         };
         const auto cluster = [](const char* service) {
             return fmt::format(R"({{"name":"{}","health-path":"/health","max-conns":200,"protocol":"h1","tls":false,)"
@@ -120,11 +130,14 @@
         };
         m_store->put("op/config",
             fmt::format(R"({{"version":"{:08x}","limits":{{"max-header-bytes":16384,"max-body-bytes":1000000,)"
-                        R"("header-timeout":"3s","idle-timeout":"15s"}},"listeners":[{},{}],"clusters":[{},{}]}})",
-                ++m_version, rule(services[0], "idempotent"), rule(services[1], "non_idempotent"), cluster(services[0]),
-                cluster(services[1])));
+                        R"("header-timeout":"3s","idle-timeout":"15s"}},"listeners":[{},{},{}],"clusters":[{},{}]}})",
+                m_version, rule(services[0], services[0], "idempotent"),
+                rule(services[1], services[1], "non_idempotent"), rule(newestHostName(), services[0], "idempotent"),
+                cluster(services[0]), cluster(services[1])));
     }
 
+    [[nodiscard]] std::string newestHostName() const { return fmt::format("version{}", m_version); }
+
     void startHosts()
     {
         for (std::size_t index = 0; index < hosts; ++index) {
@@ -137,7 +150,7 @@
                                "  internal-ports: [{6}, {6}]\n  seeds: ['127.{7}.{8}.1:{5}']\n"
                                "platform: {{platform: {{address: '{9}'}}}}\nterms: {{bounds: {{grace: 4s}}}}\n",
                        index, host.ip, index % 2 == 0 ? "a" : "b", callerPort, callerPort + 1, callerPort + 2,
-                       callerPort + 3, 1 + m_seed % 200, 1 + m_seed / 200 % 200, m_storeProxy->address());
+                       callerPort + 3, 1 + m_seed % 200, 1 + m_seed / 200 % 200, m_storeProxies[index]->address());
             m_hosts.push_back(host);
         }
         for (auto& host : m_hosts)
@@ -205,7 +218,7 @@
         const auto server = m_random() % m_servers.size();
         constexpr std::array<proxy_fault, 5> kinds { proxy_fault::none, proxy_fault::delay, proxy_fault::reset,
             proxy_fault::blackhole, proxy_fault::drop_responses };
-        switch (m_random() % 9) {
+        switch (m_random() % 10) {
         case 0:
             ++m_counts.faults["kill"];
             signalHost(host, SIGKILL);
@@ -222,7 +235,7 @@
             break;
         case 3:
             ++m_counts.faults["store"];
-            m_storeProxy->setFault(kinds[m_random() % kinds.size()]);
+            setStoreFault(kinds[m_random() % kinds.size()]);
             break;
         case 4:
             ++m_counts.faults["configuration"];
@@ -240,6 +253,10 @@
             ++m_counts.faults["reload"];
             signalHost(host, SIGHUP);
             break;
+        case 8:
+            ++m_counts.faults["limit"];
+            m_servers[server]->setLimit(m_random() % 2 == 0 ? std::optional(limitAfterRecovery) : std::nullopt);
+            break;
         default:
             ++m_counts.faults["link"];
             m_serverProxies[server]->setFault(kinds[m_random() % kinds.size()]);
@@ -248,6 +265,17 @@
         restartHosts();
     }
 
+    /// Sets a fault between the store and one host, or all hosts.
+    void setStoreFault(proxy_fault fault)
+    {
+        const bool all = m_random() % 2 == 0;
+        const auto one = m_random() % m_storeProxies.size();
+        for (std::size_t index = 0; index < m_storeProxies.size(); ++index) {
+            if (all || index == one)
+                m_storeProxies[index]->setFault(fault);
+        }
+    }
+
     void restartHosts()
     {
         for (auto& host : m_hosts) {
@@ -258,11 +286,14 @@
 
     void healAll()
     {
-        m_storeProxy->setFault(proxy_fault::none);
+        for (const auto& proxy : m_storeProxies)
+            proxy->setFault(proxy_fault::none);
         for (std::size_t index = 0; index < m_servers.size(); ++index) {
             m_serverProxies[index]->setFault(proxy_fault::reset);
             m_serverProxies[index]->setFault(proxy_fault::none);
             m_servers[index]->setSheds(false);
+            m_servers[index]->setLimit(
+                isLimitedAfterRecovery(index) ? std::optional(limitAfterRecovery) : std::nullopt);
             putServer(index, "ready");
         }
         for (auto& host : m_hosts) {
@@ -276,19 +307,33 @@
         m_restartTimer->start(200ms);
     }
 
+    static bool isLimitedAfterRecovery(std::size_t server) { return server % serversPerService == 0; }
+
+    void checkLimits()
+    {
+        for (std::size_t index = 0; index < m_servers.size(); ++index) {
+            const auto runs = m_servers[index]->runs() - m_counts.runsBeforeRecovery[index];
+            if (isLimitedAfterRecovery(index) && runs > maxRunsAtLimit)
+                m_checker.recordViolation(
+                    fmt::format("{} executed {} requests within four seconds, above its limit of {} a second",
+                        m_servers[index]->id(), runs, limitAfterRecovery));
+        }
+    }
+
     void sendRequest()
     {
         m_requestTimer->start(requestInterval);
         const auto& host = m_hosts[m_random() % m_hosts.size()];
         const std::string service = services[m_random() % services.size()];
         const bool idempotent = service == services[0];
+        const auto hostName = m_recovered && idempotent && m_random() % 2 == 0 ? newestHostName() : service;
         const auto id = fmt::format("{:08x}{:08x}", m_seed, ++m_sent);
         m_checker.recordSent(id, idempotent, service);
         m_counts.sentAfterRecovery += m_recovered ? 1 : 0;
         auto link = acquireConnection(host.ip, id);
         link->send(fmt::format("{} /x HTTP/1.1\r\nHost: {}.example\r\nX-Acaciaslip-Request-Id: {}\r\n"
                                "X-Acaciaslip-Deadline-Ms: 1500\r\n{}\r\n{}",
-            idempotent ? "GET" : "POST", service, id, idempotent ? "" : "Content-Length: 2\r\n",
+            idempotent ? "GET" : "POST", hostName, id, idempotent ? "" : "Content-Length: 2\r\n",
             idempotent ? "" : "hi"));
     }
 
@@ -312,6 +357,8 @@
         callbacks.answered = [this, ip, current, holder](const protocol::http::message& answer) {
             m_checker.recordAnswer(*current, answer.status, answer.body, !answer.closeDelimited);
             m_counts.servedAfterRecovery += m_recovered && answer.status == 200 ? 1 : 0;
+            if (m_recovered && answer.status == statusNotFound)
+                m_checker.recordViolation(ip + " does not know the newest configuration");
             if (const auto link = holder->lock(); link && link->isIdle())
                 m_idle[ip].emplace_back(link, current);
         };
@@ -372,7 +419,7 @@
     guarantee_checker m_checker;
     run_counts m_counts;
     std::unique_ptr<store_standin> m_store;
-    std::unique_ptr<fault_proxy> m_storeProxy;
+    std::vector<std::unique_ptr<fault_proxy>> m_storeProxies; ///< by host
     std::vector<std::unique_ptr<server_standin>> m_servers;
     std::vector<std::unique_ptr<fault_proxy>> m_serverProxies;
     std::vector<gateway_host> m_hosts;
--- a/soak/platform_standin.cpp
+++ b/soak/platform_standin.cpp
@@ -141,6 +141,8 @@
         status, length, m_id, m_running, slots);
     if (!id.empty())
         text += fmt::format("X-Acaciaslip-Request-Id: {}\r\nX-Acaciaslip-Response-Seal: {}\r\n", id, m_id);
+    if (m_limitPerSecond)
+        text += fmt::format("Server-Limit: {}\r\n", *m_limitPerSecond);
     return text;
 }
 
@@ -155,6 +157,7 @@
         return reply(head(503, {}, 0) + "X-Acaciaslip-Not-Executed: 1\r\n\r\n");
     m_checker.recordRun(id, m_service);
     ++m_running;
+    ++m_runs;
     auto* const work = new std::unique_ptr<timer>;
     *work = std::make_unique<timer>(m_loop, [this, id, reply, work] {
         --m_running;
--- a/soak/platform_standin.hpp
+++ b/soak/platform_standin.hpp
@@ -84,6 +84,11 @@
     /// Sets whether the server refuses every request as not executed.
     void setSheds(bool sheds) { m_sheds = sheds; }
 
+    /// Sets the requests per second that the server says it takes from all hosts together; empty: it names no limit.
+    void setLimit(std::optional<double> perSecond) { m_limitPerSecond = perSecond; }
+
+    [[nodiscard]] std::uint32_t runs() const { return m_runs; } ///< requests executed since the start
+
 private:
     void handle(const protocol::http::message& request, const http_standin::reply& reply);
     [[nodiscard]] std::string head(int status, const std::string& id, std::size_t length) const;
@@ -94,7 +99,9 @@
     guarantee_checker& m_checker;
     std::mt19937& m_random;
     std::uint32_t m_running = 0;
+    std::uint32_t m_runs = 0;
     bool m_sheds = false;
+    std::optional<double> m_limitPerSecond;
     http_standin m_http;
 };
 
