Count limited servers and searches for the store

Operators could not see from the metrics that servers name limits, or that hosts search for the store. Tests: a real answer with a limit shows in metrics, dump and the caller's answer; the platform's name of the header is read.

--- a/src/coordination/gateway/node.hpp
+++ b/src/coordination/gateway/node.hpp
@@ -64,6 +64,7 @@
     std::uint64_t callersDisconnected = 0;
     std::uint64_t deltasApplied = 0;
     std::uint64_t storeLosses = 0;
+    std::uint64_t storeSearches = 0; ///< times this node asked the store because it answered no watcher
 };
 
 /// State of the gossip between hosts.
--- a/src/coordination/gateway/store_watch.cpp
+++ b/src/coordination/gateway/store_watch.cpp
@@ -134,6 +134,7 @@
 
 void startSearch(gateway_node& self, state::time_point now, effect_list& effects)
 {
+    ++self.counters.storeSearches;
     self.storeWatch.searching = true;
     self.storeWatch.searchAt = now + self.settings.limits.stableWindow;
     startWatch(self, effects);
--- a/src/transport/loop/gateway_metrics.cpp
+++ b/src/transport/loop/gateway_metrics.cpp
@@ -2,6 +2,8 @@
 
 #include "transport/metric_families.hpp"
 
+#include <algorithm>
+
 #include <prometheus/text_serializer.h>
 
 namespace acaciaslip::transport::loop {
@@ -39,6 +41,10 @@
     for (const auto& [name, service] : node.services)
         addMetric(servers, { { "service", name } }, static_cast<double>(service.members.size()));
     families.push_back(std::move(servers));
+    const auto limited = std::count_if(node.servers.begin(), node.servers.end(),
+        [](const auto& entry) { return entry.second.limitPerSecond.has_value(); });
+    families.push_back(makeGauge(
+        "acaciaslip_limited_servers", "Servers that name a limit on their requests", static_cast<double>(limited)));
     families.push_back(makeGauge(
         "acaciaslip_configuration_version", "Version in force, 0 for none", node.config ? node.config->version : 0));
     families.push_back(makeGauge("acaciaslip_fleet_revision", "Revision up to which the published fleet is known",
@@ -49,6 +55,8 @@
         makeGauge("acaciaslip_store_away_seconds", "Time without the store, 0 while it answers", unavailableSeconds));
     families.push_back(
         makeCounter("acaciaslip_store_losses_total", "Times the store was lost", node.counters.storeLosses));
+    families.push_back(makeCounter("acaciaslip_store_searches_total",
+        "Times this host asked the store because it answered no watcher", node.counters.storeSearches));
     families.push_back(makeGauge("acaciaslip_hosts", "Entry hosts that share the budgets", node.share.hosts));
     families.push_back(makeGauge("acaciaslip_requests_in_progress", "Requests that callers wait for",
         static_cast<double>(node.requests.size())));
--- a/tests/platform/host_settings_test.cpp
+++ b/tests/platform/host_settings_test.cpp
@@ -91,6 +91,14 @@
         EXPECT_FALSE(parseDuration(text)) << text;
 }
 
+TEST_F(host_settings_test, LimitHeader_Named_HasPlatformsName)
+{
+    protocol::http::message answer;
+    answer.status = 200;
+    answer.headers = { { "Server-Limit", "2.5" } };
+    EXPECT_EQ(protocol::readAttemptAnswer(makeHttpFormat(), answer).limit.perSecond, 2.5);
+}
+
 TEST_F(host_settings_test, LoadHeader_ThreeOrFourFields_IsParsed)
 {
     const auto format = makeHttpFormat();
--- a/tests/transport/loop/gateway_daemon_test.cpp
+++ b/tests/transport/loop/gateway_daemon_test.cpp
@@ -106,6 +106,29 @@
     EXPECT_TRUE(runUntil([&] { return dump->received.find("\"path_prefix\":\"/\"") != std::string::npos; }));
 }
 
+/// The limit of a server is read from its answer to a request, on a real connection.
+TEST_F(gateway_daemon_test, Server_NamesLimit_MetricAndDumpShowIt)
+{
+    publish();
+    m_server.onReceived = [](test_connection& end) {
+        if (end.received.find("\r\n\r\n") == std::string::npos)
+            return;
+        const bool isProbe = end.received.starts_with("GET /health");
+        end.received.clear();
+        end.stream->write(isProbe ? "HTTP/1.1 200 OK\r\nAcaciaslip-Server: s1\r\nContent-Length: 0\r\n\r\n"
+                                  : "HTTP/1.1 200 OK\r\nAcaciaslip-Request: r1\r\nAcaciaslip-Limit: 1.5\r\n"
+                                    "Content-Length: 4\r\n\r\ndone");
+    };
+    const auto caller
+        = connectAndSend(m_daemon.callersPort(), "GET /a HTTP/1.1\r\nHost: x\r\nAcaciaslip-Request: r1\r\n\r\n");
+    ASSERT_TRUE(runUntil([&] { return caller->received.find("done") != std::string::npos; }));
+    EXPECT_NE(caller->received.find("Acaciaslip-Limit: 1.5"), std::string::npos) << "the caller may need it as well";
+    const auto metrics = connectAndSend(m_daemon.operatorsPort(), "GET /metrics HTTP/1.1\r\n\r\n");
+    EXPECT_TRUE(runUntil([&] { return metrics->received.find("acaciaslip_limited_servers 1") != std::string::npos; }));
+    const auto dump = connectAndSend(m_daemon.operatorsPort(), "GET /dump HTTP/1.1\r\n\r\n");
+    EXPECT_TRUE(runUntil([&] { return dump->received.find("\"limit_per_second\":1.5") != std::string::npos; }));
+}
+
 /// A peer can send any bytes as a name; writing them as JSON ended the process.
 TEST_F(gateway_daemon_test, Dump_NamesAreNotUtf8_IsServed)
 {
