--- /dev/null
+++ b/fuzz/targets.cpp
@@ -0,0 +1,247 @@
+#include "fuzz/targets.hpp"
+
+#include "coordination/gateway/node.hpp"
+#include "platform/host_settings.hpp"
+#include "platform/http_format.hpp"
+#include "platform/item_reader.hpp"
+#include "platform/store_answer.hpp"
+#include "protocol/gateway_peer_codec.hpp"
+#include "protocol/http/message_parser.hpp"
+#include "protocol/peer_codec.hpp"
+#include "protocol/server_http_messages.hpp"
+
+#include <cmath>
+#include <cstdlib>
+
+#include <fmt/format.h>
+
+namespace acaciaslip::fuzz {
+
+namespace {
+
+using protocol::http::message_limits;
+using protocol::http::message_parser;
+using protocol::http::message_side;
+using protocol::http::parse_status;
+
+constexpr message_limits limits { 1024, 4096 };
+
+/// Ends the process, so that the driver reports the input.
+void require(bool holds, std::string_view promise)
+{
+    if (holds)
+        return;
+    fmt::print(stderr, "broken: {}\n", promise);
+    std::abort();
+}
+
+/// Parses a text in reads of random sizes.
+void parseMessages(message_side side, const std::string& text, pcg32& random)
+{
+    constexpr std::uint32_t longestRead = 64;
+    const auto budget = std::make_shared<coordination::memory_budget>(coordination::makeMemoryBudget(0));
+    {
+        message_parser parser(side, limits);
+        parser.useBudget(budget);
+        std::string_view rest = text;
+        while (!rest.empty()) {
+            auto read = rest.substr(0, 1 + random(longestRead));
+            const auto size = read.size();
+            const auto status = parser.consume(read);
+            rest.remove_prefix(size - read.size());
+            if (status == parse_status::complete)
+                require(parser.takeMessage().body.size() <= limits.bodyBytes, "bodies keep their limit");
+            else if (status != parse_status::incomplete)
+                break;
+        }
+        (void)parser.finish();
+    }
+    require(budget->heldBytes == 0, "a parser releases its memory");
+}
+
+void readRequests(const std::string& input, pcg32& random)
+{
+    parseMessages(message_side::requests, input, random);
+}
+
+void readAnswers(const std::string& input, pcg32& random)
+{
+    parseMessages(message_side::answers, input, random);
+}
+
+/// Takes the input as the values of the headers that servers set.
+void readServerHeaders(const std::string& input, pcg32& /*random*/)
+{
+    static const auto format = platform::makeHttpFormat();
+    protocol::http::message answer;
+    answer.status = 200; // NOLINT: OK
+    for (const auto& name : { format.names.load, format.names.requestLimit, format.names.coldRemaining })
+        answer.headers.push_back({ name, input });
+    const auto probed = protocol::readProbeAnswer(format, answer, "s1");
+    const auto finished = protocol::readAttemptAnswer(format, answer);
+    require(probed.coldRemaining >= state::duration::zero(), "a cold period is not negative");
+    require(
+        std::isfinite(finished.limit.perSecond) && finished.limit.perSecond >= 0, "a limit is a number of requests");
+    require(!probed.report || probed.report->slowdown > 0, "a slowdown is positive");
+}
+
+void readStoreItems(const std::string& input, pcg32& /*random*/)
+{
+    for (const auto* field : { "items", "events" }) {
+        const auto read = platform::readStoreAnswer(input, field, "op/");
+        if (!read.ok())
+            continue;
+        require(!read->nextPageAfter || *read->nextPageAfter > "op/", "a listing proceeds");
+        state::gateway::published_fleet fleet;
+        for (const auto& item : read->items)
+            (void)platform::addItem(item, fleet);
+    }
+}
+
+void readStoreValues(const std::string& input, pcg32& /*random*/)
+{
+    (void)platform::readServerEntry("i-1", input);
+    const auto config = platform::readConfiguration(input);
+    for (const auto& route : config.ok() ? config->routes : std::vector<state::gateway::route> {})
+        require(!route.split.empty(), "a route has a service");
+}
+
+void readSettings(const std::string& input, pcg32& /*random*/)
+{
+    const auto read = platform::readHostSettings(input, "boot.yaml");
+    require(read.ok() ? !read->id.empty() : read.status().message().find("boot.yaml") != std::string::npos,
+        "settings are complete, or the error names the file");
+}
+
+/// Gives a datagram to a host, which must work on.
+void readHeartbeat(const std::string& input, pcg32& random)
+{
+    namespace gateway = coordination::gateway;
+    static auto node = [] {
+        gateway::node_settings settings;
+        settings.ip = "10.0.0.1";
+        settings.dataCentre = "a";
+        return gateway::makeNode(settings, state::time_point { std::chrono::hours { 1 } });
+    }();
+    static state::time_point now { std::chrono::hours { 1 } };
+    const auto heartbeat = protocol::decodeHeartbeat(input);
+    if (!heartbeat.ok())
+        return;
+    now += std::chrono::milliseconds { random(100) }; // NOLINT: pace of heartbeats
+    gateway::effect_list effects;
+    gateway::handle(node, gateway::heartbeat_received { heartbeat->sender, *heartbeat }, now, random, effects);
+    const auto wakeUp = gateway::nextWakeUp(node);
+    require(wakeUp.has_value(), "a host that runs has a next step");
+    require(protocol::encodeHeartbeat(*heartbeat).ok() || heartbeat->peers.size() > 1, "what was read can be written");
+}
+
+void readDelta(const std::string& input, pcg32& /*random*/)
+{
+    const auto delta = protocol::decodeDelta(input);
+    require(!delta.ok() || protocol::encodeDelta(*delta).ok(), "what was read can be written");
+}
+
+void readNodeMessages(const std::string& input, pcg32& /*random*/)
+{
+    (void)protocol::decodeDatagram(input);
+    (void)protocol::decodeValueRequest(input);
+    (void)protocol::decodeValueAnswer(input);
+}
+
+state::gateway::fleet_delta sampleDelta()
+{
+    using namespace std::chrono_literals;
+    state::gateway::fleet_delta delta { true, 0, {} };
+    delta.changes.asOf = 9;
+    auto& config = delta.changes.config.value.emplace();
+    delta.changes.config.revisionNumber = 1;
+    config.version = 3;
+    config.routes
+        = { { "r", "x", "/", state::gateway::request_kind::idempotent, 600ms, 1200ms, 2, 1, { { "a", 1 } } } };
+    config.services = { { "a", "/health", 100, 3s, 3.4 } };
+    delta.changes.servers["s1"]
+        = { 2, state::gateway::server_entry { "s1", "a", "10.1.0.1:80", "a", 4, false, {}, 1 } };
+    delta.changes.servers["s2"] = { 4, std::nullopt };
+    delta.changes.evacuations["a"] = { 5, state::gateway::evacuation {} };
+    return delta;
+}
+
+std::string sampleHeartbeat()
+{
+    using namespace std::chrono_literals;
+    state::gateway::peer_heartbeat heartbeat;
+    heartbeat.sender = "10.0.0.9";
+    heartbeat.dataCentre = "a";
+    heartbeat.store = state::gateway::store_access::answers;
+    heartbeat.asOf = 9;
+    heartbeat.fleetTime = state::time_point { 7h };
+    heartbeat.peers = { { "10.0.0.7", "b", 1500ms }, { "10.0.0.8", "a", 300ms } };
+    heartbeat.limits = { { "s1", 1.5, state::time_point { 6h } }, { "s2", std::nullopt, state::time_point { 5h } } };
+    heartbeat.delta = sampleDelta();
+    return protocol::encodeHeartbeat(heartbeat).value_or("");
+}
+
+std::string sampleNodeMessage()
+{
+    state::peer_message message;
+    message.sender = "entry-1";
+    return protocol::encodeDatagram(message).value_or("");
+}
+
+const std::string configuration
+    = R"({"version":"0000000c","limits":{"max-header-bytes":16384,"idle-timeout":"15s"},"listeners":[{"host":"x.example",)"
+      R"("rules":[{"name":"r","kind":"idempotent","latency-slo":"300ms","priority":1,"match":{"path-prefix":"/a/"},)"
+      R"("action":{"split":[{"service":"a","weight":90},{"service":"b","weight":10}],"timeout":"1s","attempts":2}}]}],)"
+      R"("clusters":[{"name":"a","health-path":"/health","max-conns":220,"cold-start":"3s","cold-per-s":3.4}]})";
+const std::string serverEntry
+    = R"({"address":"10.1.0.1:80","info":{"service":"a","version":"v1","zone":"z","max-concurrency":4},)"
+      R"("status":{"state":"ready","seq-no":1,"cold-left":"0ms"},"born":1})";
+
+} // namespace
+
+std::span<const target> allTargets()
+{
+    static const std::vector<std::string_view> http { "\r\n", "\n", "\r", ":", " ", "0\r\n\r\n", "HTTP/1.1 ",
+        "Content-Length: 3\r\n", "Transfer-Encoding: chunked\r\n", "ffffffffffffffff", "-1", "\xff", "\t", ";", ",",
+        "100" };
+    static const std::vector<std::string_view> json { "{", "}", "[", "]", "\"", ":", ",", "null", "true", "-1", "1e400",
+        "18446744073709551616", "\\ud800", "\xff", "[[[[[[[[[[[[[[[[", "0.0.0", "\"\"" };
+    static const std::vector<std::string_view> yaml { ":", "- ", "[", "]", "{", "}", "'", "\"", "\n", "  ", "&a ", "*a",
+        "!!binary ", "~", "-1", "99999999999999999999", "1e309", "\t", "\xff", "? ", "|", "---\n", "<<: ", "#" };
+    static const std::vector<std::string_view> bytes { std::string_view("\x00", 1), "\x01", "\x7f", "\x80", "\xff",
+        "\xff\xff\xff\xff\x0f", "\x19", "\x1c", "\x2c", "\xf9" };
+    static const std::vector<std::string_view> numbers { "-", ".", ",", "0", "9", "e9", "inf", "nan", " ", "x",
+        "99999999999" };
+    static const std::vector<target> targets {
+        { "http_requests",
+            { "POST /a?b=c HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nhello",
+                "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\nGET / "
+                "HTTP/1.1\r\n\r\n" },
+            http, readRequests },
+        { "http_answers",
+            { "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;a=b\r\nhello\r\n0\r\nA: b\r\n\r\n",
+                "HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 200 OK\r\n\r\nhello" },
+            http, readAnswers },
+        { "server_headers", { "3,1,8,500", "1.5", "2500" }, numbers, readServerHeaders },
+        { "store_items",
+            { R"({"as-of":9,"has-more":true,"items":[{"key":"op/config","revision":5,"value":"e30="},)"
+              R"({"key":"op/evacuate/a","revision":6,"value":"e30="}]})",
+                R"({"as-of":9,"events":[{"key":"servers/i-1","revision":7,"compacted":true}]})" },
+            json, readStoreItems },
+        { "store_values", { configuration, serverEntry }, json, readStoreValues },
+        { "settings",
+            { "self: {node-name: host0, ip: 10.0.0.1, zone: a, limits: {memory-mb: 160}}\n"
+              "network:\n  listen: {front: '10.0.0.1:1', ready: '10.0.0.1:2', control: '10.0.0.1:3'}\n"
+              "  internal-ports: [4, 5]\n  seeds: ['10.0.0.2:3']\n"
+              "platform: {platform: {address: '10.0.0.3:4'}}\n"
+              "terms: {bounds: {grace: 4s, config-apply: 2s, retry-ratio: 0.2}}\n" },
+            yaml, readSettings },
+        { "heartbeat", { sampleHeartbeat() }, bytes, readHeartbeat },
+        { "fleet", { protocol::encodeDelta(sampleDelta()).value_or("") }, bytes, readDelta },
+        { "node_messages", { sampleNodeMessage() }, bytes, readNodeMessages },
+    };
+    return targets;
+}
+
+} // namespace acaciaslip::fuzz
--- a/src/protocol/http/message.cpp
+++ b/src/protocol/http/message.cpp
@@ -145,6 +145,18 @@
     return number;
 }
 
+std::optional<state::duration> parseMilliseconds(std::string_view text) noexcept
+{
+    constexpr std::int64_t longest = std::chrono::milliseconds { std::chrono::hours { 24 } }.count();
+    std::int64_t milliseconds = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), milliseconds);
+    if (error == std::errc::result_out_of_range && !text.starts_with('-'))
+        milliseconds = longest;
+    else if (error != std::errc {} || milliseconds < 0)
+        return std::nullopt;
+    return std::chrono::milliseconds { std::min(milliseconds, longest) };
+}
+
 bool needsContentLength(const message& request) noexcept
 {
     return !request.body.empty() || request.method == "POST" || request.method == "PUT" || request.method == "PATCH";
--- a/src/protocol/http/message.hpp
+++ b/src/protocol/http/message.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/memory_budget.hpp"
+#include "state/time.hpp"
 
 #include <cstdint>
 #include <memory>
@@ -69,6 +70,11 @@
 /// \return the number, or std::nullopt when the text has other characters or the number is out of range
 [[nodiscard]] std::optional<std::uint64_t> parseUnsigned(std::string_view text) noexcept;
 
+/// Reads the number of milliseconds at the beginning of a header's value. A time above a day counts as a day, so that
+/// sums of durations stay within the range of the clock. \return empty if the value does not begin with a number, or
+/// with a negative one
+[[nodiscard]] std::optional<state::duration> parseMilliseconds(std::string_view text) noexcept;
+
 /// Whether a request is sent with a Content-Length: it has a body or a method that usually has one.
 [[nodiscard]] bool needsContentLength(const message& request) noexcept;
 
--- a/src/protocol/server_http_messages.cpp
+++ b/src/protocol/server_http_messages.cpp
@@ -38,14 +38,6 @@
     return { limit_statement::named, perSecond };
 }
 
-state::duration readMilliseconds(std::optional<std::string_view> text)
-{
-    std::int64_t milliseconds = 0;
-    if (text)
-        std::from_chars(text->data(), text->data() + text->size(), milliseconds);
-    return std::chrono::milliseconds { std::max<std::int64_t>(milliseconds, 0) };
-}
-
 template <typename Names> bool isListed(const Names& names, std::string_view name)
 {
     return std::any_of(
@@ -86,7 +78,8 @@
         finished.outcome = answer.status == statusOk ? probe_outcome::healthy : probe_outcome::unhealthy;
     finished.report = parseLoad(format, answer);
     finished.limit = readLimit(format, answer);
-    finished.coldRemaining = readMilliseconds(findHeader(answer, format.names.coldRemaining));
+    if (const auto cold = findHeader(answer, format.names.coldRemaining))
+        finished.coldRemaining = http::parseMilliseconds(*cold).value_or(state::duration::zero());
     return finished;
 }
 
--- a/src/transport/loop/caller_server.cpp
+++ b/src/transport/loop/caller_server.cpp
@@ -15,17 +15,6 @@
 constexpr int statusGatewayTimeout = 504;
 constexpr std::string_view memoryRetryAfter = "1.000"; ///< seconds; large messages are held for about that long
 
-std::optional<state::duration> parseTimeout(std::optional<std::string_view> text)
-{
-    if (!text)
-        return std::nullopt;
-    std::int64_t milliseconds = 0;
-    const auto [end, problem] = std::from_chars(text->data(), text->data() + text->size(), milliseconds);
-    if (problem != std::errc {} || milliseconds < 0)
-        return std::nullopt;
-    return std::chrono::milliseconds { milliseconds };
-}
-
 std::string_view withoutPort(std::string_view host) noexcept
 {
     return host.substr(0, host.rfind(':'));
@@ -80,7 +69,8 @@
     arrived.callerRequestId = protocol::http::findHeader(request, m_format.names.requestId).value_or("");
     arrived.host = withoutPort(protocol::http::findHeader(request, "Host").value_or(""));
     arrived.path = protocol::http::extractPath(request.target);
-    arrived.callerTimeout = parseTimeout(protocol::http::findHeader(request, m_format.names.timeout));
+    if (const auto timeout = protocol::http::findHeader(request, m_format.names.timeout))
+        arrived.callerTimeout = protocol::http::parseMilliseconds(*timeout);
     m_requests[static_cast<std::uint64_t>(id)] = { std::move(request), from };
     m_sink(std::move(arrived));
 }
--- a/tests/protocol/http/message_mutation_test.cpp
+++ b/tests/protocol/http/message_mutation_test.cpp
@@ -1,3 +1,4 @@
+#include "mutation.hpp"
 #include "protocol/http/message_parser.hpp"
 
 #include <array>
@@ -18,21 +19,7 @@
         static constexpr std::array<std::string_view, 16> fragments { "\r\n", "\n", "\r", ":", " ", "0\r\n\r\n",
             "HTTP/1.1 ", "Content-Length: 3\r\n", "Transfer-Encoding: chunked\r\n", "ffffffffffffffff", "-1", "\xff",
             "\t", ";", ",", "100" };
-        const auto at = m_random(static_cast<std::uint32_t>(text.size() + 1));
-        const auto fragment = fragments[m_random(fragments.size())];
-        switch (m_random(4)) {
-        case 0:
-            text.erase(at, 1 + m_random(8));
-            break;
-        case 1:
-            text.insert(at, fragment);
-            break;
-        case 2:
-            text.insert(at, text.substr(m_random(static_cast<std::uint32_t>(text.size() + 1)), 40));
-            break;
-        default:
-            text.replace(at, std::min(fragment.size(), text.size() - at), fragment);
-        }
+        mutateText(text, fragments, m_random);
     }
 
     /// Parses the text until it ends or cannot be parsed, and returns the bodies of the complete messages.
--- a/tests/protocol/server_http_messages_test.cpp
+++ b/tests/protocol/server_http_messages_test.cpp
@@ -5,6 +5,8 @@
 namespace acaciaslip::protocol {
 namespace {
 
+using namespace std::chrono_literals;
+
 using state::attempt_outcome;
 
 class server_http_messages_test : public testing::Test {
@@ -82,6 +84,20 @@
     }
 }
 
+/// Guards against a time that overflows when it is converted to nanoseconds: found by the fuzz program, the cold period
+/// was negative. A caller's deadline is read by the same function.
+TEST_F(server_http_messages_test, Milliseconds_OfAnySize_AreWithinADay)
+{
+    m_answer.headers.push_back({ "Acaciaslip-Cold-Ms", "9300000000000000000" });
+    EXPECT_EQ(readProbeAnswer(m_format, m_answer, "s7").coldRemaining, 24h);
+    EXPECT_EQ(http::parseMilliseconds("9223372036854775807"), 24h);
+    EXPECT_EQ(http::parseMilliseconds("99999999999999999999"), 24h);
+    EXPECT_EQ(http::parseMilliseconds("2500"), 2500ms);
+    EXPECT_EQ(http::parseMilliseconds("2500.7"), 2500ms);
+    for (const auto* text : { "", "x", "-1", "-99999999999999999999" })
+        EXPECT_FALSE(http::parseMilliseconds(text)) << text;
+}
+
 TEST_F(server_http_messages_test, Response_Misdirected_OutcomeShed)
 {
     m_answer.status = 421;
--- a/tests/protocol/settings_mutation_test.cpp
+++ b/tests/protocol/settings_mutation_test.cpp
@@ -1,3 +1,4 @@
+#include "mutation.hpp"
 #include "protocol/fleet_settings_reader.hpp"
 #include "protocol/node_settings_reader.hpp"
 #include "protocol/settings_texts.hpp"
@@ -18,25 +19,7 @@
         static constexpr std::string_view fragments[]
             = { "$", ":", "- ", "[", "]", "{", "}", "'", "\"", "\n", "  ", "&a ", "*a", "!!binary ", "~", "-1",
                   "99999999999999999999", "1e309", "\t", "\xff", "? ", "|", "---\n", "%YAML 9\n", "<<: ", "#" };
-        const auto at = text.empty() ? 0 : m_random(static_cast<std::uint32_t>(text.size()));
-        const auto fragment = fragments[m_random(std::size(fragments))];
-        switch (m_random(5)) {
-        case 0:
-            text.erase(at, 1 + m_random(8));
-            break;
-        case 1:
-            text.insert(at, fragment);
-            break;
-        case 2:
-            if (!text.empty())
-                text[at] = static_cast<char>(m_random(256));
-            break;
-        case 3:
-            text.insert(at, text.substr(m_random(static_cast<std::uint32_t>(text.size() + 1)), 40));
-            break;
-        default:
-            text.replace(at, std::min<std::size_t>(fragment.size(), text.size() - at), fragment);
-        }
+        mutateText(text, fragments, m_random);
     }
 
     static void expectValid(const state::fleet_settings& settings)
