Start the fleet's clock on a node without peers

Found while reading the change: a node without an address for peers left the membership step before the clock's start, so that a server with a limit would have received nothing from it. The new test fails without the change.

--- a/src/coordination/gateway/membership.cpp
+++ b/src/coordination/gateway/membership.cpp
@@ -176,10 +176,10 @@
 void processMembership(gateway_node& self, state::time_point now, random_generator& random, effect_list& effects)
 {
     announceLeave(self, now, random, effects);
+    startFleetClock(self, now);
     if (now < self.membership.nextGossipAt || self.settings.ip.empty())
         return;
     removeTimedOutPeers(self, now, effects);
-    startFleetClock(self, now);
     countHosts(self, now);
     gossip(self, now, random, effects);
     if (self.published.asOf == 0 || hasNoPeers(self)) {
--- a/tests/coordination/gateway/fleet_clock_test.cpp
+++ b/tests/coordination/gateway/fleet_clock_test.cpp
@@ -56,6 +56,17 @@
     EXPECT_LE(findSpread(), 50ms);
 }
 
+/// Guards against a node without peers that never sends to a server with a limit.
+TEST(fleet_clock_single_test, Node_HasNoAddressForPeers_HasTimeAfterOneSecond)
+{
+    const state::time_point start { 1h };
+    auto node = makeNode({}, start);
+    random_generator random { 1 };
+    effect_list effects;
+    handle(node, timer_expired {}, start + 1s, random, effects);
+    EXPECT_EQ(fleetTime(node, start + 3s), state::time_point { 3s });
+}
+
 TEST_F(fleet_clock_test, Time_OlderThanOwn_IsIgnored)
 {
     auto& node = m_hosts.nodes.at(simulated_hosts::ipOf(0));
