--- a/tests/coordination/gateway/server_limit_test.cpp
+++ b/tests/coordination/gateway/server_limit_test.cpp
@@ -310,6 +310,17 @@
     EXPECT_LE(static_cast<double>(m_fleet.mostReceived), mostAllowed(perSecond));
 }
 
+TEST_P(server_limit_restart_test, Hosts_RestartWhileDatagramsAreLost_LimitIsKept)
+{
+    m_fleet.hosts.lostDatagrams = 30;
+    for (std::size_t index = 0; index < GetParam(); index += 3) {
+        m_fleet.restart(index);
+        m_fleet.run(400ms);
+    }
+    m_fleet.run(20s);
+    EXPECT_LE(static_cast<double>(m_fleet.mostReceived), mostAllowed(perSecond));
+}
+
 /// The others must not take over the share of lost hosts before all of them know that these are gone.
 TEST_P(server_limit_restart_test, Hosts_DataCentreIsLost_LimitIsKept)
 {
--- a/tests/coordination/gateway/simulated_hosts.hpp
+++ b/tests/coordination/gateway/simulated_hosts.hpp
@@ -136,6 +136,7 @@
     std::set<std::string> partitionedHosts; ///< hosts that are partitioned from all others
     bool storeDown = false;
     std::map<std::string, std::size_t> linesLogged; ///< by event, of all hosts
+    std::uint32_t lostDatagrams = 0; ///< percent
     std::size_t watchesStarted = 0; ///< by all hosts
     state::time_point now { 1h };
 
@@ -197,7 +198,7 @@
 
     void deliver(const std::string& from, const std::string& to, const state::gateway::peer_heartbeat& message)
     {
-        if (isPartitioned(from, to) || !nodes.contains(to))
+        if (isPartitioned(from, to) || !nodes.contains(to) || (lostDatagrams > 0 && m_lossRandom(100) < lostDatagrams))
             return;
         m_inbox.push_back([this, from, to, message] {
             if (nodes.contains(to))
@@ -219,6 +220,7 @@
     }
 
     std::map<std::string, random_generator> m_random;
+    random_generator m_lossRandom { 5 };
     std::map<std::string, state::time_point> m_silentUntil; ///< connections to the store without an answer
     std::set<std::string> m_storeSilentFor;
     state::time_point m_silentSince;
