Let the soak's servers, store and peers answer malformed, endless, duplicate and late

Servers answer with bytes that are no answer, with a body that does not end, twice, or after the timeout; the store answers with JSON that is none of its answers; hosts receive random datagrams on the port of their peers. The checks are those that stood: each caller gets its own answer or none, nothing but idempotent requests runs twice, nothing runs after 503, no process ends by itself, and after recovery nine of ten requests are served, limits kept and the newest configuration known.

--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -3,7 +3,9 @@
 #include "soak/platform_standin.hpp"
 #include "transport/loop/boot_clock.hpp"
 #include "transport/loop/http_connection.hpp"
+#include "transport/loop/udp_socket.hpp"
 
+#include <algorithm>
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
@@ -63,6 +65,10 @@
         m_folder = std::filesystem::temp_directory_path() / fmt::format("acaciaslip-soak-{}-{}", ::getpid(), seed);
         std::filesystem::create_directories(m_folder);
         m_store = std::make_unique<store_standin>(&m_loop);
+        m_datagrams
+            = std::make_unique<transport::loop::udp_socket>(&m_loop, [](const std::string&, std::string_view) {});
+        if (const auto status = m_datagrams->bind(fmt::format("{}:{}", ipOf(hosts), callerPort)); !status.ok())
+            m_checker.recordViolation(std::string(status.message()));
         for (std::size_t index = 0; index < hosts; ++index)
             m_storeProxies.push_back(std::make_unique<fault_proxy>(&m_loop, m_store->address()));
     }
@@ -138,19 +144,25 @@
 
     [[nodiscard]] std::string newestHostName() const { return fmt::format("version{}", m_version); }
 
+    /// Each seed has addresses of its own, so that several soaks can run at once.
+    [[nodiscard]] std::string ipOf(std::size_t host) const
+    {
+        return fmt::format("127.{}.{}.{}", 1 + m_seed % 200, 1 + m_seed / 200 % 200, host + 1);
+    }
+
     void startHosts()
     {
         for (std::size_t index = 0; index < hosts; ++index) {
             gateway_host host;
-            host.ip = fmt::format("127.{}.{}.{}", 1 + m_seed % 200, 1 + m_seed / 200 % 200, index + 1);
+            host.ip = ipOf(index);
             host.settingsFile = m_folder / fmt::format("host{}.yaml", index);
             std::ofstream(host.settingsFile)
                 << fmt::format("self: {{node-name: host{0}, ip: {1}, zone: {2}}}\n"
                                "network:\n  listen: {{front: '{1}:{3}', ready: '{1}:{4}', control: '{1}:{5}'}}\n"
-                               "  internal-ports: [{6}, {6}]\n  seeds: ['127.{7}.{8}.1:{5}']\n"
-                               "platform: {{platform: {{address: '{9}'}}}}\nterms: {{bounds: {{grace: 4s}}}}\n",
+                               "  internal-ports: [{6}, {6}]\n  seeds: ['{7}:{5}']\n"
+                               "platform: {{platform: {{address: '{8}'}}}}\nterms: {{bounds: {{grace: 4s}}}}\n",
                        index, host.ip, index % 2 == 0 ? "a" : "b", callerPort, callerPort + 1, callerPort + 2,
-                       callerPort + 3, 1 + m_seed % 200, 1 + m_seed / 200 % 200, m_storeProxies[index]->address());
+                       callerPort + 3, ipOf(0), m_storeProxies[index]->address());
             m_hosts.push_back(host);
         }
         for (auto& host : m_hosts)
@@ -218,7 +230,10 @@
         const auto server = m_random() % m_servers.size();
         constexpr std::array<proxy_fault, 5> kinds { proxy_fault::none, proxy_fault::delay, proxy_fault::reset,
             proxy_fault::blackhole, proxy_fault::drop_responses };
-        switch (m_random() % 10) {
+        constexpr std::array<server_fault, 7> serverFaults { server_fault::none, server_fault::none,
+            server_fault::sheds, server_fault::malformed, server_fault::unfinished, server_fault::duplicate,
+            server_fault::late };
+        switch (m_random() % 12) {
         case 0:
             ++m_counts.faults["kill"];
             signalHost(host, SIGKILL);
@@ -242,8 +257,8 @@
             putConfiguration();
             break;
         case 5:
-            ++m_counts.faults["shed"];
-            m_servers[server]->setSheds(m_random() % 2 == 0);
+            ++m_counts.faults["server"];
+            m_servers[server]->setFault(serverFaults[m_random() % serverFaults.size()]);
             break;
         case 6:
             ++m_counts.faults["drain"];
@@ -253,6 +268,14 @@
             ++m_counts.faults["reload"];
             signalHost(host, SIGHUP);
             break;
+        case 9:
+            ++m_counts.faults["store_json"];
+            m_store->setMalformed(m_random() % 2 == 0);
+            break;
+        case 10:
+            ++m_counts.faults["datagrams"];
+            sendDatagrams(host);
+            break;
         case 8:
             ++m_counts.faults["limit"];
             m_servers[server]->setLimit(m_random() % 2 == 0 ? std::optional(limitAfterRecovery) : std::nullopt);
@@ -265,6 +288,17 @@
         restartHosts();
     }
 
+    /// Sends a host bytes on the port of its peers.
+    void sendDatagrams(const gateway_host& host)
+    {
+        constexpr std::size_t longest = 1400;
+        for (int sent = 0; sent < 20; ++sent) { // NOLINT: a burst
+            std::string bytes(m_random() % longest + 1, '\0');
+            std::generate(bytes.begin(), bytes.end(), [this] { return static_cast<char>(m_random()); });
+            m_datagrams->send(fmt::format("{}:{}", host.ip, callerPort + 3), bytes);
+        }
+    }
+
     /// Sets a fault between the store and one host, or all hosts.
     void setStoreFault(proxy_fault fault)
     {
@@ -286,12 +320,13 @@
 
     void healAll()
     {
+        m_store->setMalformed(false);
         for (const auto& proxy : m_storeProxies)
             proxy->setFault(proxy_fault::none);
         for (std::size_t index = 0; index < m_servers.size(); ++index) {
             m_serverProxies[index]->setFault(proxy_fault::reset);
             m_serverProxies[index]->setFault(proxy_fault::none);
-            m_servers[index]->setSheds(false);
+            m_servers[index]->setFault(server_fault::none);
             m_servers[index]->setLimit(
                 isLimitedAfterRecovery(index) ? std::optional(limitAfterRecovery) : std::nullopt);
             putServer(index, "ready");
@@ -392,6 +427,7 @@
                 m_counts.servedAfterRecovery, m_counts.sentAfterRecovery));
         for (const auto& link : m_connections)
             link->close();
+        m_datagrams->close();
         runFor(50ms);
         std::string faults;
         for (const auto& [kind, count] : m_counts.faults)
@@ -419,6 +455,7 @@
     guarantee_checker m_checker;
     run_counts m_counts;
     std::unique_ptr<store_standin> m_store;
+    std::unique_ptr<transport::loop::udp_socket> m_datagrams;
     std::vector<std::unique_ptr<fault_proxy>> m_storeProxies; ///< by host
     std::vector<std::unique_ptr<server_standin>> m_servers;
     std::vector<std::unique_ptr<fault_proxy>> m_serverProxies;
--- a/soak/platform_standin.cpp
+++ b/soak/platform_standin.cpp
@@ -15,6 +15,7 @@
 
 constexpr std::uint32_t slots = 4;
 constexpr std::chrono::milliseconds minServiceTime { 5 };
+constexpr std::chrono::milliseconds lateServiceTime { 1200 }; ///< above the routes' timeout of 1 s
 constexpr std::uint32_t serviceTimeRange = 40; ///< milliseconds above the minimum
 
 std::uint64_t parseUnsigned(const message& request, std::string_view name)
@@ -78,6 +79,9 @@
 
 void store_standin::handle(const message& request, const http_standin::reply& reply)
 {
+    if (m_malformed)
+        return reply(protocol::http::writeAnswer(
+            200, "application/json", R"({"as-of":"x","has-more":1,"items":{},"events":[[[]]]})", true));
     const auto prefix = protocol::http::findParameter(request.target, "path-prefix").value_or("");
     if (protocol::http::extractPath(request.target) == "/kv-range")
         return reply(protocol::http::writeAnswer(200, "application/json", listItems(prefix), true));
@@ -146,6 +150,23 @@
     return text;
 }
 
+std::string server_standin::writeAnswer(const std::string& id) const
+{
+    constexpr std::size_t unfinishedBytes = 65536;
+    const auto body = "ran " + id;
+    auto answer = head(200, id, body.size()) + "\r\n" + body;
+    switch (m_fault) {
+    case server_fault::malformed:
+        return "HTTP/9 OK\r\n\r\n" + body;
+    case server_fault::unfinished:
+        return head(200, id, 2 * unfinishedBytes) + "\r\n" + std::string(unfinishedBytes, 'x');
+    case server_fault::duplicate:
+        return answer + answer;
+    default:
+        return answer;
+    }
+}
+
 void server_standin::handle(const message& request, const http_standin::reply& reply)
 {
     if (request.target == "/health")
@@ -153,7 +174,7 @@
     const std::string id(protocol::http::findHeader(request, "X-Acaciaslip-Request-Id").value_or(""));
     if (protocol::http::findHeader(request, "X-Acaciaslip-Expect-Instance") != std::string_view(m_id))
         return reply(head(421, {}, 0) + "\r\n");
-    if (m_sheds || m_running >= slots)
+    if (m_fault == server_fault::sheds || m_running >= slots)
         return reply(head(503, {}, 0) + "X-Acaciaslip-Not-Executed: 1\r\n\r\n");
     m_checker.recordRun(id, m_service);
     ++m_running;
@@ -161,11 +182,11 @@
     auto* const work = new std::unique_ptr<timer>;
     *work = std::make_unique<timer>(m_loop, [this, id, reply, work] {
         --m_running;
-        const auto body = "ran " + id;
-        reply(head(200, id, body.size()) + "\r\n" + body);
+        reply(writeAnswer(id));
         delete work;
     });
-    (*work)->start(minServiceTime + std::chrono::milliseconds { m_random() % serviceTimeRange });
+    const auto shortest = m_fault == server_fault::late ? lateServiceTime : minServiceTime;
+    (*work)->start(shortest + std::chrono::milliseconds { m_random() % serviceTimeRange });
 }
 
 } // namespace acaciaslip::soak
--- a/soak/platform_standin.hpp
+++ b/soak/platform_standin.hpp
@@ -46,6 +46,9 @@
     /// Writes an item and answers the pending watches. Without a value, the item is removed.
     void put(const std::string& key, const std::optional<std::string>& value);
 
+    /// Sets whether the store answers with JSON that is not an answer of a store.
+    void setMalformed(bool malformed) { m_malformed = malformed; }
+
     [[nodiscard]] std::string address() const { return m_http.address(); }
 
 private:
@@ -67,10 +70,21 @@
     uv_loop_t* m_loop;
     std::map<std::string, item> m_items;
     std::uint64_t m_revision = 1;
+    bool m_malformed = false;
     std::vector<waiting_watch> m_watches;
     http_standin m_http;
 };
 
+/// How a server answers requests.
+enum class server_fault {
+    none,
+    sheds, ///< it refuses each one as not executed
+    malformed, ///< it executes them and answers with bytes that are no answer
+    unfinished, ///< it executes them and answers with a body that does not end
+    duplicate, ///< it answers twice
+    late, ///< it answers after the callers' timeout
+};
+
 /// A backend server that implements the platform's request headers, load reports and health check.
 class server_standin {
 public:
@@ -81,8 +95,7 @@
     [[nodiscard]] const std::string& id() const { return m_id; }
     [[nodiscard]] const std::string& service() const { return m_service; }
 
-    /// Sets whether the server refuses every request as not executed.
-    void setSheds(bool sheds) { m_sheds = sheds; }
+    void setFault(server_fault fault) { m_fault = fault; }
 
     /// Sets the requests per second that the server says it takes from all hosts together; empty: it names no limit.
     void setLimit(std::optional<double> perSecond) { m_limitPerSecond = perSecond; }
@@ -91,6 +104,7 @@
 
 private:
     void handle(const protocol::http::message& request, const http_standin::reply& reply);
+    [[nodiscard]] std::string writeAnswer(const std::string& id) const;
     [[nodiscard]] std::string head(int status, const std::string& id, std::size_t length) const;
 
     uv_loop_t* m_loop;
@@ -100,7 +114,7 @@
     std::mt19937& m_random;
     std::uint32_t m_running = 0;
     std::uint32_t m_runs = 0;
-    bool m_sheds = false;
+    server_fault m_fault = server_fault::none;
     std::optional<double> m_limitPerSecond;
     http_standin m_http;
 };
