--- a/src/coordination/gateway/probe_targets.hpp
+++ b/src/coordination/gateway/probe_targets.hpp
@@ -16,8 +16,8 @@
 [[nodiscard]] bool isAdmitted(
     const gateway_node& self, const state::gateway::server_state& server, state::time_point now) noexcept;
 
-/// Time until the first of a request's servers is admitted whose limit alone stands against it now.
-/// \return empty if no server is in this state
+/// Time until this node's next turn at one of the servers that could receive the request now except for their limit.
+/// \return empty if there is no such server
 [[nodiscard]] std::optional<state::duration> timeUntilLimitedServer(
     const gateway_node& self, const state::gateway::pending_request& request, state::time_point now);
 
--- a/src/coordination/gateway/server_limit.cpp
+++ b/src/coordination/gateway/server_limit.cpp
@@ -15,7 +15,7 @@
 
 namespace {
 
-/// After its start a host does not know yet how many hosts share the limit.
+/// Time after the start in which a host may not know all hosts that share the limit.
 constexpr state::duration learningTime = std::chrono::seconds { 10 };
 /// While the fleet's time is unknown, limited servers receive nothing.
 constexpr state::duration clockRetryDelay = std::chrono::milliseconds { 100 };
@@ -80,8 +80,8 @@
         server->limitEndedAt = server->limitSaidAt; // the sender does not know yet that the limit has ended
 }
 
-/// Spreads neighbouring ranks over the whole interval. Hosts that know a different number of hosts for a while are
-/// mostly neighbours, such as those of one data centre, and must not send in a row twice.
+/// Spreads neighbouring ranks over the whole interval. Hosts that temporarily count a different number of hosts are
+/// mostly neighbours, for example in one data centre; in consecutive slots they would double the rate.
 host_share spreadRank(host_share share) noexcept
 {
     auto stride = std::max<std::uint32_t>(static_cast<std::uint32_t>(share.hosts * goldenRatio), 1);
--- a/src/coordination/gateway/server_limit.hpp
+++ b/src/coordination/gateway/server_limit.hpp
@@ -31,8 +31,8 @@
 void adoptLimits(gateway_node& self, const std::vector<state::gateway::limit_notice>& limits, state::time_point now,
     effect_list& effects);
 
-/// Whether no host is known to have had an answer of a limited server for some time. The limit may have ended, so the
-/// next turn should be used.
+/// Whether no host is known to have received a response of a limited server recently. The limit may have ended, so this
+/// node should use its next turn.
 [[nodiscard]] bool isLimitUnconfirmed(
     const gateway_node& self, const state::gateway::server_state& server, state::time_point now) noexcept;
 
--- a/src/coordination/gateway/store_watch.cpp
+++ b/src/coordination/gateway/store_watch.cpp
@@ -142,8 +142,8 @@
     startWatch(self, effects);
 }
 
-/// Time until this host asks. The hosts of a data centre that have asked double in equal times: the store usually
-/// answers the first of them, and if not, the last one still asks within `searchSpread`.
+/// Delay of this host in a search. The number of hosts that have asked grows exponentially: usually the store answers
+/// the first of them, and otherwise the last one still asks within `searchSpread`.
 state::duration searchDelay(const gateway_node& self, random_generator& random)
 {
     const auto hosts = static_cast<double>(std::count_if(self.peers.begin(), self.peers.end(),
--- a/src/state/gateway/server_state.hpp
+++ b/src/state/gateway/server_state.hpp
@@ -17,11 +17,11 @@
     time_point receivedAt;
 };
 
-/// What a response says about the requests that the server takes from all hosts together.
+/// What a response says about the server's rate limit, which applies to all hosts together.
 enum class limit_statement {
-    none, ///< it names no limit
+    none, ///< it contains no limit
     named,
-    unreadable, ///< it names a limit that is not a number: the last known one still applies
+    unreadable, ///< its limit is not a number, so the last known one still applies
 };
 
 struct limit_report {
