Let the same few hosts keep trying when all searches fail at once

Cause: after a search without an answer a host kept trying unless three others were known to try. A store that drops its history lets all watches hang and cuts them at the same moment, so none of the hosts had heard of another.

Change: the three hosts of a data centre with the lowest addresses keep trying, besides the host that watched before. The new test had all of 72 hosts trying, now at most 12.

--- a/src/coordination/gateway/store_watch.cpp
+++ b/src/coordination/gateway/store_watch.cpp
@@ -49,6 +49,17 @@
         [&](const auto& entry) { return isWatcher(self, entry.second, access, now); }));
 }
 
+/// Whether this host is one of those that keep trying. It must not depend on reports of others that try: the searches
+/// of all hosts may fail at the same moment.
+bool mayKeepTrying(const gateway_node& self)
+{
+    const auto before = std::count_if(self.peers.begin(), self.peers.end(), [&](const auto& entry) {
+        return entry.first < self.settings.ip && !entry.second.leaving
+            && entry.second.dataCentre == self.settings.dataCentre;
+    });
+    return before < maxTryingHosts;
+}
+
 /// Whether a host that watches the store need not. A watcher without an answer is of less use than any that has one.
 bool isCoveredByOthers(const gateway_node& self, state::time_point now)
 {
@@ -216,7 +227,7 @@
     self.storeWatch.answered = false;
     self.storeWatch.nextStepAt = now;
     const bool searched = std::exchange(self.storeWatch.searching, false);
-    if (searched && (isCoveredByOthers(self, now) || countWatchers(self, store_access::away, now) >= maxTryingHosts)) {
+    if (searched && (isCoveredByOthers(self, now) || !mayKeepTrying(self))) {
         effects.emplace_back(log_event { log_level::info, "store_search",
             { { "reason", lost.reason }, { "revision", std::to_string(self.published.asOf) } } });
         return stopWatch(self, effects);
--- a/tests/coordination/gateway/simulated_hosts_test.cpp
+++ b/tests/coordination/gateway/simulated_hosts_test.cpp
@@ -292,6 +292,30 @@
     EXPECT_LE(hosts.watchesStarted, 3 * mostAsking);
 }
 
+/// Guards against a herd of hosts that keep trying: the searches of many hosts fail at the same moment, so that none of
+/// them has heard of others that try (kierdicht-gw-large, scale-1: 160 of 312 hosts).
+TEST_F(simulated_hosts_test, Store_CutsAllSearchesAtOnce_FewHostsKeepTrying)
+{
+    constexpr std::size_t mostTrying = 4; // in a data centre: three, and the host that watched before
+    simulated_hosts hosts { 24 };
+    hosts.change("s", true);
+    hosts.run(12s);
+    for (const auto& [ip, node] : hosts.nodes)
+        hosts.storeUnresponsive.insert(ip);
+    const auto cut = [&] {
+        for (const auto& [ip, node] : std::map(hosts.nodes)) {
+            if (node.storeWatch.watching)
+                hosts.handleEvent(ip, store_lost { "test" });
+        }
+    };
+    cut();
+    hosts.run(400ms);
+    ASSERT_EQ(hosts.countWatchers(), 72U) << "every host searches";
+    cut();
+    EXPECT_LE(hosts.countWatchers(), 3 * mostTrying);
+    EXPECT_GE(hosts.countWatchers(), 3U);
+}
+
 /// Every host must ask once in a stable window, since it may be the only one that the store answers again.
 TEST_F(simulated_hosts_test, Store_DownForAll_EveryHostAsksOnceInEachStableWindowAndFewMoreOften)
 {
