Reword comments that need a second reading

Comments and one usage comment only: the diff has no line of code. Terms of the field replace words of this project: a host reaches the store or not, a watch is redundant, a notice carries a time in the future.

--- a/fuzz/main.cpp
+++ b/fuzz/main.cpp
@@ -79,7 +79,7 @@
 } // namespace
 } // namespace acaciaslip::fuzz
 
-/// Usage: acaciaslip_fuzz SEED SECONDS [READER ROUND]. Gives changed inputs to every reader of bytes from outside, or
+/// Usage: acaciaslip_fuzz SEED SECONDS [READER ROUND]. Feeds mutated inputs to every parser of external data, or
 /// repeats one round and prints its input. A crash or a broken promise ends the process.
 int main(int argc, char** argv)
 {
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -288,7 +288,7 @@
         restartHosts();
     }
 
-    /// Sends a host bytes on the port of its peers.
+    /// Sends random datagrams to a host's heartbeat port.
     void sendDatagrams(const gateway_host& host)
     {
         constexpr std::size_t longest = 1400;
--- a/src/coordination/gateway/fleet_clock.cpp
+++ b/src/coordination/gateway/fleet_clock.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-/// Time after the start within which a host of a running fleet has heard from another one.
+/// In a running fleet, a starting host receives the first heartbeat within this time.
 constexpr state::duration adoptionTime = std::chrono::seconds { 1 };
 
 } // namespace
--- a/src/coordination/gateway/store_watch.cpp
+++ b/src/coordination/gateway/store_watch.cpp
@@ -22,7 +22,7 @@
 constexpr state::duration watcherTimeout = std::chrono::milliseconds { 900 }; ///< tolerates two lost heartbeats
 /// Time for which other hosts must watch the store without interruption before this one stops.
 constexpr state::duration stepDownDelay = std::chrono::milliseconds { 500 };
-/// Time to search for a host that the store answers, for it to read a change and for all others to fetch it.
+/// Time to find a host that can reach the store, to read a change there and to distribute it to all other hosts.
 constexpr state::duration changeSpreadTime = std::chrono::milliseconds { 700 };
 constexpr state::duration minStoreSilence = std::chrono::milliseconds { 600 }; ///< limits the calls of short bounds
 /// A delta with more changes than this is announced by its revision only, and peers fetch it.
@@ -60,7 +60,7 @@
     return before < maxTryingHosts;
 }
 
-/// Whether a host that watches the store need not. A watcher without an answer is of less use than any that has one.
+/// Whether this host's watch is redundant. A watcher that cannot reach the store is redundant beside any that can.
 bool isCoveredByOthers(const gateway_node& self, state::time_point now)
 {
     if (self.published.asOf == 0)
@@ -142,7 +142,7 @@
     effects.emplace_back(watch_store { false, self.published.asOf });
 }
 
-/// Asks the store, unless another host has reported an answer since the search was planned.
+/// Calls the store, unless another host has reached it since the search was scheduled.
 void startSearch(gateway_node& self, state::time_point now, effect_list& effects)
 {
     if (countWatchers(self, store_access::answers, now) > 0)
@@ -164,7 +164,7 @@
         searchSpread * (std::log1p(position * (hosts + 1)) / std::log1p(hosts + 1)));
 }
 
-/// Plans a search while the store answers no watcher of the data centre.
+/// Schedules a search while no watcher of the data centre can reach the store.
 void planSearch(gateway_node& self, state::time_point now, random_generator& random)
 {
     if (countWatchers(self, store_access::answers, now) > 0)
--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -24,8 +24,8 @@
 /// Time that the store needs for an answer, including the network and a busy host.
 constexpr state::duration answerMargin = std::chrono::milliseconds { 400 };
 constexpr std::chrono::milliseconds minWatchWait { 200 };
-/// Requested while it is unknown whether the store answers: it does so at once, so that a lost answer does not cost a
-/// whole watch.
+/// Wait of a watch while it is unknown whether the store is reachable. The store then responds immediately, so that a
+/// lost response is noticed early.
 constexpr std::chrono::milliseconds recoveryWait { 1 };
 constexpr state::duration listTimeout = std::chrono::milliseconds { 1000 };
 /// Delay before the next watch. Changes arrive in bursts, and a short delay lets one call read a whole burst. It is
--- a/tests/coordination/gateway/server_limit_test.cpp
+++ b/tests/coordination/gateway/server_limit_test.cpp
@@ -257,7 +257,7 @@
     EXPECT_EQ(countHostsWithLimit("s0"), 0U);
 }
 
-/// A notice may arrive after a later answer of the server, or claim a time that has not come.
+/// A notice may be older than the latest response of the server, or carry a time in the future.
 TEST_F(server_limit_gossip_test, Notice_OlderThanOwnAnswerOrFromFuture_IsIgnored)
 {
     m_fleet.run(20s);
--- a/tests/coordination/gateway/simulated_hosts_test.cpp
+++ b/tests/coordination/gateway/simulated_hosts_test.cpp
@@ -255,8 +255,8 @@
     }
 }
 
-/// Guards against a host that has just begun to ask and counts as a watcher with an answer, and against one with an
-/// answer that gives up because three hosts without one keep trying.
+/// Guards against a host that reports the store as reachable before its first response, and against one that reaches
+/// the store but stops watching because three others keep retrying.
 TEST_F(simulated_hosts_test, Store_AnswersHighestAddressOnly_ThatHostAloneReportsAnAnswerAndKeepsWatching)
 {
     simulated_hosts hosts { 8 };
