Log and count fetches between hosts

The logs could not tell which host asked which for changes, how many bytes came and how each fetch ended, so that the hypotheses on a late configuration could not be told apart. fetch_finished now says so; fetches that fail, take 100 ms or bring 16 KiB are logged, and all are counted by outcome. No decision is changed.

--- a/src/coordination/gateway/events.hpp
+++ b/src/coordination/gateway/events.hpp
@@ -8,6 +8,7 @@
 #include "state/time.hpp"
 #include "state/verdict.hpp"
 
+#include <array>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -94,8 +95,26 @@
     state::gateway::peer_heartbeat message;
 };
 
-/// A fetch from a peer has finished. Any data that it returned was posted as an event before this one.
-struct fetch_finished { };
+/// How a fetch from a peer has ended.
+enum class fetch_outcome {
+    received, ///< its data was posted as an event before `fetch_finished`
+    refused, ///< the peer has nothing to give
+    unreadable, ///< the peer's answer cannot be decoded
+    no_answer, ///< the connection failed or the time was over
+};
+
+inline constexpr std::array<state::enum_name<fetch_outcome>, 4> fetchOutcomeNames { {
+    { fetch_outcome::received, "received" },
+    { fetch_outcome::refused, "refused" },
+    { fetch_outcome::unreadable, "unreadable" },
+    { fetch_outcome::no_answer, "no_answer" },
+} };
+
+/// A fetch from a peer has finished.
+struct fetch_finished {
+    fetch_outcome outcome = fetch_outcome::received;
+    std::uint64_t bytes = 0; ///< received, also of an incomplete answer
+};
 
 /// A graceful shutdown of the process was requested.
 struct stop_requested { };
--- a/src/coordination/gateway/fleet_relay.cpp
+++ b/src/coordination/gateway/fleet_relay.cpp
@@ -14,6 +14,8 @@
 /// A host that watches the store receives a change within this time after another watching host.
 constexpr state::duration storeHeadStart = std::chrono::milliseconds { 250 };
 constexpr state::duration fetchTimeout = std::chrono::milliseconds { 800 };
+constexpr std::uint64_t loggedFetchBytes = 16384;
+constexpr state::duration loggedFetchTime = std::chrono::milliseconds { 100 };
 
 /// Returns the peer with the newest revision. Among equals, peers of the own data centre are preferred, and then the
 /// one heard last, since others may be gone. A peer whose last fetch brought nothing is used only if it is the only
@@ -35,6 +37,20 @@
     return best == nullptr ? nullptr : &best->first;
 }
 
+/// Fetches of small changes are as frequent as changes, so only those that fail or take long are logged.
+void logFetch(const gateway_node& self, const fetch_finished& finished, state::time_point now, effect_list& effects)
+{
+    const auto took = now - self.fetch.startedAt;
+    if (finished.outcome == fetch_outcome::received && finished.bytes < loggedFetchBytes && took < loggedFetchTime)
+        return;
+    effects.emplace_back(log_event { log_level::info, "fetch",
+        { { "from", self.fetch.requestedFrom },
+            { "outcome", std::string(state::findName(fetchOutcomeNames, finished.outcome)) },
+            { "bytes", std::to_string(finished.bytes) },
+            { "ms", std::to_string(static_cast<std::int64_t>(state::toMilliseconds(took))) },
+            { "revision", std::to_string(self.published.asOf) } } });
+}
+
 } // namespace
 
 void handleFleetUpdate(gateway_node& self, const fleet_update_received& published, state::time_point now,
@@ -63,8 +79,12 @@
     self.fetch.fetchAt = now + (expectsStore ? storeHeadStart : state::duration {});
 }
 
-void handleFetchFinished(gateway_node& self, state::time_point now, effect_list& effects)
+void handleFetchFinished(
+    gateway_node& self, const fetch_finished& finished, state::time_point now, effect_list& effects)
 {
+    ++self.counters.fetchesByOutcome[finished.outcome];
+    self.counters.fetchedBytes += finished.bytes;
+    logFetch(self, finished, now, effects);
     self.fetch.timeoutAt.reset();
     processFetches(self, now, effects);
 }
@@ -81,6 +101,8 @@
     if (source == nullptr)
         return;
     self.fetch.source = *source;
+    self.fetch.requestedFrom = *source;
+    self.fetch.startedAt = now;
     self.fetch.timeoutAt = now + fetchTimeout;
     self.fetch.fetchAt = now + fetchTimeout; // retry if the fetch does not succeed
     effects.emplace_back(fetch_fleet { *source, self.published.asOf, fetchTimeout });
--- a/src/coordination/gateway/fleet_relay.hpp
+++ b/src/coordination/gateway/fleet_relay.hpp
@@ -16,7 +16,8 @@
     random_generator& random, effect_list& effects);
 
 /// Handles the end of a fetch from a peer, successful or not.
-void handleFetchFinished(gateway_node& self, state::time_point now, effect_list& effects);
+void handleFetchFinished(
+    gateway_node& self, const fetch_finished& finished, state::time_point now, effect_list& effects);
 
 /// Fetches changes that a peer has, unless they have arrived from the store in the meantime.
 void processFetches(gateway_node& self, state::time_point now, effect_list& effects);
--- a/src/coordination/gateway/node.cpp
+++ b/src/coordination/gateway/node.cpp
@@ -38,7 +38,7 @@
     void operator()(const store_lost& lost) const { handleStoreUnanswered(self, lost, now, effects); }
     void operator()(const store_recovered&) const { handleStoreAnswered(self, now, effects); }
     void operator()(const heartbeat_received& received) const { handleHeartbeat(self, received, now, random, effects); }
-    void operator()(const fetch_finished&) const { handleFetchFinished(self, now, effects); }
+    void operator()(const fetch_finished& finished) const { handleFetchFinished(self, finished, now, effects); }
     void operator()(const stop_requested&) const { beginShutdown(self, now, effects); }
     void operator()(const timer_expired&) const { }
 };
--- a/src/coordination/gateway/node.hpp
+++ b/src/coordination/gateway/node.hpp
@@ -64,6 +64,8 @@
     std::uint64_t callersDisconnected = 0;
     std::uint64_t deltasApplied = 0;
     std::uint64_t storeLosses = 0;
+    std::map<fetch_outcome, std::uint64_t> fetchesByOutcome;
+    std::uint64_t fetchedBytes = 0;
     std::uint64_t storeSearches = 0; ///< times this node asked the store because it answered no watcher
 };
 
@@ -93,6 +95,8 @@
 struct fetch_state {
     std::optional<state::time_point> fetchAt; ///< when to fetch: a peer has a newer revision
     std::optional<state::time_point> timeoutAt; ///< time limit of the fetch in progress
+    state::gateway::peer_ip requestedFrom; ///< peer of the fetch in progress
+    state::time_point startedAt; ///< of the fetch in progress
     state::gateway::peer_ip source; ///< peer of the latest fetch
     state::gateway::peer_ip failedSource; ///< peer of the latest fetch that brought nothing; empty after a success
 };
--- a/src/transport/loop/gateway_metrics.cpp
+++ b/src/transport/loop/gateway_metrics.cpp
@@ -57,6 +57,11 @@
         makeCounter("acaciaslip_store_losses_total", "Times the store was lost", node.counters.storeLosses));
     families.push_back(makeCounter("acaciaslip_store_searches_total",
         "Times this host asked the store because it answered no watcher", node.counters.storeSearches));
+    families.push_back(
+        makeCounters("acaciaslip_fleet_fetches_total", "Fetches of changes from other entry hosts, by outcome",
+            "outcome", node.counters.fetchesByOutcome, coordination::gateway::fetchOutcomeNames));
+    families.push_back(makeCounter(
+        "acaciaslip_fleet_fetched_bytes_total", "Bytes received in these fetches", node.counters.fetchedBytes));
     families.push_back(makeGauge("acaciaslip_hosts", "Entry hosts that share the budgets", node.share.hosts));
     families.push_back(makeGauge("acaciaslip_requests_in_progress", "Requests that callers wait for",
         static_cast<double>(node.requests.size())));
--- a/src/transport/loop/http_connection.cpp
+++ b/src/transport/loop/http_connection.cpp
@@ -92,6 +92,7 @@
 void http_connection::handleReceived(std::string_view bytes)
 {
     const auto self = shared_from_this();
+    m_receivedBytes += bytes.size();
     if (!m_busy)
         return fail(connection_failure::truncated);
     parseAnswers(bytes);
--- a/src/transport/loop/http_connection.hpp
+++ b/src/transport/loop/http_connection.hpp
@@ -66,6 +66,9 @@
     /// Whether the connection is idle with no unread data and no unread end of stream from the server.
     [[nodiscard]] bool isReusable() const { return isIdle() && !m_stream->hasPendingInput(); }
 
+    /// Bytes received since the connection was opened.
+    [[nodiscard]] std::uint64_t receivedBytes() const noexcept { return m_receivedBytes; }
+
     /// How long the server keeps an idle connection open, from the Keep-Alive header of its last answer.
     [[nodiscard]] std::optional<state::duration> keepAliveTimeout() const noexcept { return m_keepAliveTimeout; }
 
@@ -85,6 +88,7 @@
     http_connection_callbacks m_callbacks;
     std::string m_unsent;
     std::shared_ptr<const void> m_unsentHeld;
+    std::uint64_t m_receivedBytes = 0;
     std::uint32_t m_skippedAnswers = 0; ///< interim and unexpected answers in the current exchange
     std::optional<state::duration> m_keepAliveTimeout;
     bool m_connected = false;
--- a/src/transport/loop/http_fetcher.cpp
+++ b/src/transport/loop/http_fetcher.cpp
@@ -22,7 +22,7 @@
 {
     const auto to = parseAddress(address);
     if (!to.ok())
-        return done(std::nullopt);
+        return done({});
     const auto number = m_nextNumber++;
     http_connection_callbacks callbacks;
     callbacks.isExpected = [](const protocol::http::message&) { return true; };
@@ -58,7 +58,7 @@
     const auto ended = std::move(found->second);
     m_inFlight.erase(found);
     ended->connection->close();
-    ended->done(std::move(answer));
+    ended->done({ std::move(answer), ended->connection->receivedBytes() });
 }
 
 void http_fetcher::close()
--- a/src/transport/loop/http_fetcher.hpp
+++ b/src/transport/loop/http_fetcher.hpp
@@ -20,11 +20,16 @@
     state::duration answer {}; ///< added to `connect`; until the complete answer has been received
 };
 
+/// Result of a single HTTP exchange.
+struct fetch_result {
+    std::optional<protocol::http::message> answer; ///< empty if the exchange failed or timed out
+    std::uint64_t receivedBytes = 0; ///< also of an answer that is incomplete
+};
+
 /// Performs single HTTP exchanges, each on its own connection.
 class http_fetcher {
 public:
-    /// Receives the answer, or nothing if the exchange failed or timed out.
-    using callback = std::function<void(std::optional<protocol::http::message>)>;
+    using callback = std::function<void(fetch_result)>;
 
     http_fetcher(uv_loop_t* loop, protocol::http::message_limits limits);
 
--- a/src/transport/loop/node_daemon.cpp
+++ b/src/transport/loop/node_daemon.cpp
@@ -151,7 +151,8 @@
     const auto request = fmt::format("GET /acaciaslip/{} HTTP/1.1\r\nHost: {}\r\nConnection: close\r\n\r\n",
         state::findName(coordination::probeKindNames, wanted.kind), wanted.address);
     m_parts->fetches.fetch(
-        wanted.address, request, probeTimeouts, [this, health, server = wanted.server](const auto& answer) {
+        wanted.address, request, probeTimeouts, [this, health, server = wanted.server](const fetch_result& fetched) {
+            const auto& answer = fetched.answer;
             coordination::probe_finished finished { server, false, {}, {} };
             if (answer && answer->status == statusOk) {
                 if (health)
@@ -178,7 +179,8 @@
                                      "Connection: close\r\n\r\n",
         wanted.key, wanted.after, wait.count(), wanted.address);
     m_parts->fetches.fetch(wanted.address, request, { platformConnectTimeout, wanted.wait + platformTimeoutMargin },
-        [this, wanted](const auto& answer) {
+        [this, wanted](const fetch_result& fetched) {
+            const auto& answer = fetched.answer;
             std::optional<coordination::value_received> received;
             if (answer && answer->status == statusOk) {
                 const auto text = protocol::http::findHeader(*answer, "Revision").value_or("");
--- a/src/transport/loop/peer_transport.cpp
+++ b/src/transport/loop/peer_transport.cpp
@@ -64,23 +64,26 @@
     m_fetcher.fetch(address,
         fmt::format(
             "GET {}?after={} HTTP/1.1\r\nHost: {}\r\nConnection: close\r\n\r\n", fleetPath, wanted.after, address),
-        { wanted.timeout, state::duration::zero() }, [this](const auto& answer) {
-            if (answer)
-                handleFetchedDelta(*answer);
-            m_sink(coordination::gateway::fetch_finished {});
+        { wanted.timeout, state::duration::zero() }, [this](const fetch_result& fetched) {
+            using coordination::gateway::fetch_outcome;
+            const auto outcome = fetched.answer ? handleFetchedDelta(*fetched.answer) : fetch_outcome::no_answer;
+            m_sink(coordination::gateway::fetch_finished { outcome, fetched.receivedBytes });
         });
 }
 
-void peer_transport::handleFetchedDelta(const protocol::http::message& answer)
+coordination::gateway::fetch_outcome peer_transport::handleFetchedDelta(const protocol::http::message& answer)
 {
-    if (answer.status == statusOk) {
-        auto delta = protocol::decodeDelta(answer.body);
-        if (delta.ok())
-            m_sink(coordination::gateway::fleet_update_received {
-                *std::move(delta), coordination::gateway::fleet_source::peer });
-        else
-            ++m_rejected;
+    using coordination::gateway::fetch_outcome;
+    if (answer.status != statusOk)
+        return fetch_outcome::refused;
+    auto delta = protocol::decodeDelta(answer.body);
+    if (!delta.ok()) {
+        ++m_rejected;
+        return fetch_outcome::unreadable;
     }
+    m_sink(
+        coordination::gateway::fleet_update_received { *std::move(delta), coordination::gateway::fleet_source::peer });
+    return fetch_outcome::received;
 }
 
 void peer_transport::close()
--- a/src/transport/loop/peer_transport.hpp
+++ b/src/transport/loop/peer_transport.hpp
@@ -37,7 +37,7 @@
     void close();
 
 private:
-    void handleFetchedDelta(const protocol::http::message& answer);
+    coordination::gateway::fetch_outcome handleFetchedDelta(const protocol::http::message& answer);
 
     int m_datagramPort;
     int m_fetchPort;
