Show with a test that a large configuration is late on hosts with thin links

Simulated hosts now have links of a limited rate, shared by the transfers of a host, and a published configuration.

--- a/tests/coordination/gateway/simulated_hosts.hpp
+++ b/tests/coordination/gateway/simulated_hosts.hpp
@@ -2,6 +2,7 @@
 
 #include "coordination/gateway/fleet_merge.hpp"
 #include "coordination/gateway/node.hpp"
+#include "coordination/gateway/simulated_links.hpp"
 #include "coordination/gateway/store_watch.hpp"
 
 #include <deque>
@@ -58,6 +59,32 @@
         store.servers[id] = { store.asOf, entry };
     }
 
+    /// Publishes the next configuration. Each version has the routes of the ones before it.
+    /// \param routesAdded number of routes that only this version and later ones have
+    void publishConfiguration(std::size_t routesAdded)
+    {
+        auto& config = m_config;
+        config.version += 1;
+        config.limits.idleTimeout += 1s;
+        for (std::size_t index = 0; index < routesAdded; ++index) {
+            state::gateway::route added;
+            added.name = "r" + std::to_string(config.routes.size());
+            added.host = "host.example";
+            added.pathPrefix = "/" + added.name + "/";
+            added.split = { { "a", 1 } };
+            config.routes.push_back(std::move(added));
+        }
+        store.asOf += 1;
+        store.config = { store.asOf, config };
+    }
+
+    /// Version in force on a host; 0: none.
+    [[nodiscard]] std::uint32_t versionOf(const std::string& ip) const
+    {
+        const auto& config = nodes.at(ip).config;
+        return config ? config->version : 0;
+    }
+
     void run(state::duration span)
     {
         for (const auto end = now + span; now < end; now += 10ms)
@@ -135,6 +162,7 @@
         storeUnresponsive; ///< hosts that receive no answer from the store and have not detected this yet
     std::set<std::string> partitionedHosts; ///< hosts that are partitioned from all others
     bool storeDown = false;
+    simulated_links links;
     std::map<std::string, std::size_t> linesLogged; ///< by event, of all hosts
     std::uint32_t lostDatagrams = 0; ///< percent
     std::size_t watchesStarted = 0; ///< by all hosts
@@ -145,6 +173,8 @@
 
     void step()
     {
+        links.step(10ms);
+        endLateFetches();
         for (auto& [ip, node] : nodes) {
             if (nextWakeUp(node) && *nextWakeUp(node) <= now)
                 handleEvent(ip, timer_expired {});
@@ -208,17 +238,68 @@
 
     void serveFetch(const std::string& ip, const fetch_fleet& requested)
     {
+        endFetch(ip); // a host has one fetch at a time
+        auto& running = m_fetches[ip];
+        running.endsAt = now + requested.timeout;
         if (isPartitioned(ip, requested.ip) || !nodes.contains(requested.ip))
             return;
         m_inbox.push_back([this, ip, requested] {
-            if (!nodes.contains(requested.ip) || !nodes.contains(ip))
+            if (!nodes.contains(requested.ip) || !m_fetches.contains(ip))
                 return;
             const auto delta = makeDelta(nodes.at(requested.ip).published, requested.after);
-            handleEvent(ip, fleet_update_received { delta, fleet_source::peer });
-            handleEvent(ip, fetch_finished {});
+            m_fetches[ip].transfer
+                = links.start(requested.ip, ip, estimateBytes(delta), [this, ip, delta] { finishFetch(ip, delta); });
         });
     }
 
+    /// Bytes of a delta between hosts.
+    [[nodiscard]] static double estimateBytes(const state::gateway::fleet_delta& delta)
+    {
+        constexpr double bytesPerRoute = 72;
+        constexpr double bytesPerServer = 110;
+        const auto& changes = delta.changes;
+        const auto routes = changes.config.value ? changes.config.value->routes.size() : 0;
+        return bytesPerRoute * static_cast<double>(routes)
+            + bytesPerServer * static_cast<double>(changes.servers.size());
+    }
+
+    void finishFetch(const std::string& ip, const state::gateway::fleet_delta& delta)
+    {
+        m_fetches.erase(ip);
+        if (!nodes.contains(ip))
+            return;
+        handleEvent(ip, fleet_update_received { delta, fleet_source::peer });
+        handleEvent(ip, fetch_finished { fetch_outcome::received, 0 });
+    }
+
+    void endFetch(const std::string& ip)
+    {
+        const auto ended = m_fetches.extract(ip);
+        if (!ended.empty())
+            links.cancel(ended.mapped().transfer);
+    }
+
+    void endLateFetches()
+    {
+        std::vector<std::string> late;
+        for (const auto& [ip, running] : m_fetches) {
+            if (now >= running.endsAt)
+                late.push_back(ip);
+        }
+        for (const auto& ip : late) {
+            endFetch(ip);
+            if (nodes.contains(ip))
+                handleEvent(ip, fetch_finished { fetch_outcome::no_answer, 0 });
+        }
+    }
+
+    struct running_fetch {
+        simulated_links::transfer_id transfer = 0;
+        state::time_point endsAt;
+    };
+
+    std::map<std::string, running_fetch> m_fetches; ///< by the host that fetches
+    state::gateway::configuration m_config; ///< the latest one published
     std::map<std::string, random_generator> m_random;
     random_generator m_lossRandom { 5 };
     std::map<std::string, state::time_point> m_silentUntil; ///< connections to the store without an answer
