Send large changes to two hosts at a time, and redirect others to those that have them

Callers saw an older configuration for up to 4.5 s after a newer one had to be in force. After a change every host of a data centre fetched it from the host that watches the store, all at once and without a limit. Over a link of 10 Mbit/s none of 26 copies of a large configuration was complete within the 0.8 s of a fetch; each was thrown away, all began again, and the full link also lost the watcher's heartbeats and its own read of the store. The class of fault is congestion collapse: work that is given up when it is nearly done, and begun again.

A host now sends large answers to two hosts at a time. The others wait; when a host has received its copy, half of them are redirected to it, so that the number of hosts with the change doubles with each transfer. A fetch ends after 0.8 s without bytes as before, but goes on, for 2 s at most, while at least 32 KiB arrive in 0.4 s. Small answers are served at once. A host that stops reading loses its turn after 0.8 s.

--- a/src/coordination/gateway/effects.hpp
+++ b/src/coordination/gateway/effects.hpp
@@ -68,7 +68,25 @@
 struct fetch_fleet {
     state::gateway::peer_ip ip;
     state::revision after = 0;
-    state::duration timeout {};
+    /// The fetch ends when the connection takes longer than this or too few bytes arrive in such a time.
+    state::duration patience {};
+};
+
+/// Send the changes after a revision to another host that has asked for them.
+struct serve_fleet {
+    state::gateway::fetch_id id {};
+    state::revision after = 0;
+};
+
+/// Tell another host that has asked for changes which host to ask instead.
+struct redirect_fetch {
+    state::gateway::fetch_id id {};
+    state::gateway::peer_ip ip;
+};
+
+/// Tell another host that has asked for changes that there is nothing to give.
+struct refuse_fetch {
+    state::gateway::fetch_id id {};
 };
 
 /// Start or stop watching the store for changes.
@@ -82,7 +100,8 @@
 
 /// All effects that a node may request from the transport layer.
 using effect = std::variant<probe_server, send_request, cancel_attempt, answer_caller, refuse_caller, discard_answer,
-    send_peer_message, fetch_fleet, watch_store, reread_store, log_event, node_stopped>;
+    send_peer_message, fetch_fleet, serve_fleet, redirect_fetch, refuse_fetch, watch_store, reread_store, log_event,
+    node_stopped>;
 
 /// Effects in the order in which they must be carried out.
 using effect_list = std::vector<effect>;
--- a/src/coordination/gateway/events.hpp
+++ b/src/coordination/gateway/events.hpp
@@ -98,13 +98,15 @@
 /// How a fetch from a peer has ended.
 enum class fetch_outcome {
     received, ///< its data was posted as an event before `fetch_finished`
+    redirected, ///< the peer names another one that has the data
     refused, ///< the peer has nothing to give
     unreadable, ///< the peer's answer cannot be decoded
     no_answer, ///< the connection failed or the time was over
 };
 
-inline constexpr std::array<state::enum_name<fetch_outcome>, 4> fetchOutcomeNames { {
+inline constexpr std::array<state::enum_name<fetch_outcome>, 5> fetchOutcomeNames { {
     { fetch_outcome::received, "received" },
+    { fetch_outcome::redirected, "redirected" },
     { fetch_outcome::refused, "refused" },
     { fetch_outcome::unreadable, "unreadable" },
     { fetch_outcome::no_answer, "no_answer" },
@@ -114,6 +116,20 @@
 struct fetch_finished {
     fetch_outcome outcome = fetch_outcome::received;
     std::uint64_t bytes = 0; ///< received, also of an incomplete answer
+    state::gateway::peer_ip next; ///< peer to ask instead, if redirected
+};
+
+/// Another host asks for changes of the published fleet.
+struct fetch_requested {
+    state::gateway::fetch_id id {};
+    state::gateway::peer_ip ip; ///< address of the other host; empty if it does not tell
+    state::revision after = 0; ///< everything up to this revision is known there
+};
+
+/// The connection of another host's fetch has ended.
+struct fetch_served {
+    state::gateway::fetch_id id {};
+    bool complete = false; ///< the other host has received the whole answer
 };
 
 /// A graceful shutdown of the process was requested.
@@ -123,8 +139,8 @@
 struct timer_expired { };
 
 /// All events that a node handles.
-using event
-    = std::variant<request_arrived, caller_disconnected, probe_finished, attempt_finished, fleet_update_received,
-        store_lost, store_recovered, heartbeat_received, fetch_finished, stop_requested, timer_expired>;
+using event = std::variant<request_arrived, caller_disconnected, probe_finished, attempt_finished,
+    fleet_update_received, store_lost, store_recovered, heartbeat_received, fetch_finished, fetch_requested,
+    fetch_served, stop_requested, timer_expired>;
 
 } // namespace acaciaslip::coordination::gateway
--- a/src/coordination/gateway/fleet_relay.cpp
+++ b/src/coordination/gateway/fleet_relay.cpp
@@ -13,7 +13,10 @@
 
 /// A host that watches the store receives a change within this time after another watching host.
 constexpr state::duration storeHeadStart = std::chrono::milliseconds { 250 };
-constexpr state::duration fetchTimeout = std::chrono::milliseconds { 800 };
+constexpr state::duration fetchPatience = std::chrono::milliseconds { 800 };
+/// Delay of the next fetch after one that a peer refused, or that left this host behind another peer.
+constexpr state::duration nextFetchDelay = std::chrono::milliseconds { 100 };
+constexpr std::uint32_t maxRedirections = 12; ///< of one fetch; each halves the number of hosts that wait
 constexpr std::uint64_t loggedFetchBytes = 16384;
 constexpr state::duration loggedFetchTime = std::chrono::milliseconds { 100 };
 
@@ -44,13 +47,20 @@
     if (finished.outcome == fetch_outcome::received && finished.bytes < loggedFetchBytes && took < loggedFetchTime)
         return;
     effects.emplace_back(log_event { log_level::info, "fetch",
-        { { "from", self.fetch.requestedFrom },
+        { { "from", self.fetch.source },
             { "outcome", std::string(state::findName(fetchOutcomeNames, finished.outcome)) },
             { "bytes", std::to_string(finished.bytes) },
             { "ms", std::to_string(static_cast<std::int64_t>(state::toMilliseconds(took))) },
             { "revision", std::to_string(self.published.asOf) } } });
 }
 
+void startFetch(gateway_node& self, const state::gateway::peer_ip& source, state::time_point now, effect_list& effects)
+{
+    self.fetch.source = source;
+    self.fetch.startedAt = now;
+    effects.emplace_back(fetch_fleet { source, self.published.asOf, fetchPatience });
+}
+
 } // namespace
 
 void handleFleetUpdate(gateway_node& self, const fleet_update_received& published, state::time_point now,
@@ -60,7 +70,6 @@
     applyFleetUpdate(self, published, now, effects);
     if (self.published.asOf <= before)
         return;
-    self.fetch.source.clear();
     self.fetch.failedSource.clear();
     if (published.source == fleet_source::store)
         relayChanges(self, published.delta, now, random, effects);
@@ -73,7 +82,7 @@
 {
     if (message.delta)
         handleFleetUpdate(self, { *message.delta, fleet_source::peer }, now, random, effects);
-    if (message.asOf <= self.published.asOf || self.fetch.fetchAt)
+    if (message.asOf <= self.published.asOf || self.fetch.fetchAt || !self.fetch.source.empty())
         return;
     const bool expectsStore = findStoreAccess(self) == state::gateway::store_access::answers;
     self.fetch.fetchAt = now + (expectsStore ? storeHeadStart : state::duration {});
@@ -85,36 +94,36 @@
     ++self.counters.fetchesByOutcome[finished.outcome];
     self.counters.fetchedBytes += finished.bytes;
     logFetch(self, finished, now, effects);
-    self.fetch.timeoutAt.reset();
-    processFetches(self, now, effects);
+    const auto source = std::exchange(self.fetch.source, {});
+    self.fetch.fetchAt.reset();
+    const bool follows = finished.outcome == fetch_outcome::redirected && self.peers.contains(finished.next)
+        && self.fetch.redirections < maxRedirections;
+    if (follows) {
+        ++self.fetch.redirections;
+        return startFetch(self, finished.next, now, effects);
+    }
+    self.fetch.redirections = 0;
+    if (finished.outcome != fetch_outcome::received)
+        self.fetch.failedSource = source;
+    if (findBestSource(self) != nullptr)
+        self.fetch.fetchAt = finished.outcome == fetch_outcome::no_answer ? now : now + nextFetchDelay;
 }
 
 void processFetches(gateway_node& self, state::time_point now, effect_list& effects)
 {
-    if (self.fetch.timeoutAt && now >= *self.fetch.timeoutAt)
-        self.fetch.timeoutAt.reset();
-    if (!self.fetch.fetchAt || now < *self.fetch.fetchAt || self.fetch.timeoutAt)
+    if (!self.fetch.fetchAt || now < *self.fetch.fetchAt || !self.fetch.source.empty())
         return;
     self.fetch.fetchAt.reset();
-    self.fetch.failedSource = self.fetch.source;
-    const auto* source = findBestSource(self);
-    if (source == nullptr)
-        return;
-    self.fetch.source = *source;
-    self.fetch.requestedFrom = *source;
-    self.fetch.startedAt = now;
-    self.fetch.timeoutAt = now + fetchTimeout;
-    self.fetch.fetchAt = now + fetchTimeout; // retry if the fetch does not succeed
-    effects.emplace_back(fetch_fleet { *source, self.published.asOf, fetchTimeout });
-    if (self.storeWatch.watching)
-        effects.emplace_back(reread_store {});
+    if (const auto* source = findBestSource(self)) {
+        startFetch(self, *source, now, effects);
+        if (self.storeWatch.watching)
+            effects.emplace_back(reread_store {});
+    }
 }
 
 std::optional<state::time_point> nextFetchStep(const gateway_node& self) noexcept
 {
-    if (!self.fetch.fetchAt)
-        return std::nullopt;
-    return std::max(*self.fetch.fetchAt, self.fetch.timeoutAt.value_or(*self.fetch.fetchAt));
+    return self.fetch.source.empty() ? self.fetch.fetchAt : std::nullopt;
 }
 
 } // namespace acaciaslip::coordination::gateway
--- a/src/coordination/gateway/node.cpp
+++ b/src/coordination/gateway/node.cpp
@@ -1,6 +1,7 @@
 #include "coordination/gateway/node.hpp"
 
 #include "coordination/gateway/fleet_relay.hpp"
+#include "coordination/gateway/fleet_serving.hpp"
 #include "coordination/gateway/fleet_view.hpp"
 #include "coordination/gateway/membership.hpp"
 #include "coordination/gateway/probing.hpp"
@@ -39,6 +40,8 @@
     void operator()(const store_recovered&) const { handleStoreAnswered(self, now, effects); }
     void operator()(const heartbeat_received& received) const { handleHeartbeat(self, received, now, random, effects); }
     void operator()(const fetch_finished& finished) const { handleFetchFinished(self, finished, now, effects); }
+    void operator()(const fetch_requested& requested) const { handleFetchRequested(self, requested, now, effects); }
+    void operator()(const fetch_served& served) const { handleFetchServed(self, served, now, effects); }
     void operator()(const stop_requested&) const { beginShutdown(self, now, effects); }
     void operator()(const timer_expired&) const { }
 };
@@ -64,6 +67,7 @@
     processMembership(self, now, random, effects);
     updateStoreWatch(self, now, random, effects);
     processFetches(self, now, effects);
+    processServing(self, now, effects);
     advanceShutdown(self, now, effects);
 }
 
@@ -74,6 +78,8 @@
     auto next = std::min(nextMembershipStep(self), nextStoreWatchStep(self));
     if (const auto fetch = nextFetchStep(self))
         next = std::min(next, *fetch);
+    if (const auto serving = nextServingStep(self))
+        next = std::min(next, *serving);
     if (const auto stop = nextShutdownStep(self))
         next = std::min(next, *stop);
     if (!self.due.empty())
--- a/src/coordination/gateway/node.hpp
+++ b/src/coordination/gateway/node.hpp
@@ -14,6 +14,7 @@
 #include "state/gateway/server_state.hpp"
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -66,6 +67,8 @@
     std::uint64_t storeLosses = 0;
     std::map<fetch_outcome, std::uint64_t> fetchesByOutcome;
     std::uint64_t fetchedBytes = 0;
+    std::uint64_t fetchesServed = 0; ///< large answers to other hosts
+    std::uint64_t fetchesRedirected = 0; ///< other hosts that were told to ask a third one
     std::uint64_t storeSearches = 0; ///< times this node asked the store because it answered no watcher
 };
 
@@ -94,11 +97,26 @@
 /// State of fetches from peers.
 struct fetch_state {
     std::optional<state::time_point> fetchAt; ///< when to fetch: a peer has a newer revision
-    std::optional<state::time_point> timeoutAt; ///< time limit of the fetch in progress
-    state::gateway::peer_ip requestedFrom; ///< peer of the fetch in progress
+    state::gateway::peer_ip source; ///< peer of the fetch in progress; empty: there is none
     state::time_point startedAt; ///< of the fetch in progress
-    state::gateway::peer_ip source; ///< peer of the latest fetch
-    state::gateway::peer_ip failedSource; ///< peer of the latest fetch that brought nothing; empty after a success
+    std::uint32_t redirections = 0; ///< of the fetch in progress
+    state::gateway::peer_ip failedSource; ///< peer of the latest fetch if it brought nothing
+};
+
+/// Fetches of other hosts from this one; see `fleet_serving.hpp`.
+struct fleet_serving {
+    struct fetcher {
+        state::gateway::fetch_id id {};
+        state::gateway::peer_ip ip;
+        state::revision after = 0;
+    };
+    struct transfer {
+        state::gateway::peer_ip ip;
+        state::time_point startedAt;
+    };
+    std::deque<fetcher> waiting; ///< in the order in which they have asked
+    std::map<state::gateway::fetch_id, transfer> transfers; ///< large answers that are being sent
+    state::time_point steppedAt; ///< latest `processServing`
 };
 
 /// Until the number of hosts is known, budgets are divided by the size of a large fleet.
@@ -118,6 +136,7 @@
     fleet_clock clock;
     store_watch storeWatch;
     fetch_state fetch;
+    fleet_serving serving;
     node_phase phase = node_phase::starting;
     state::time_point phaseSince;
 
--- a/src/state/gateway/peer_heartbeat.hpp
+++ b/src/state/gateway/peer_heartbeat.hpp
@@ -17,6 +17,9 @@
 /// Address of an entry host without port; all hosts use the same ports.
 using peer_ip = std::string;
 
+/// Identifies another host's fetch within one process.
+enum class fetch_id : std::uint64_t {};
+
 /// An entry host other than the sender that the sender knows.
 struct known_peer {
     peer_ip ip;
--- a/src/transport/loop/caller_connection.hpp
+++ b/src/transport/loop/caller_connection.hpp
@@ -68,6 +68,9 @@
     /// Closes the connection immediately.
     void close();
 
+    /// Whether the caller has closed its side after the last answer, so that it has received the whole answer.
+    [[nodiscard]] bool hasReceivedAll() const noexcept { return m_stream->hasPeerClosed(); }
+
     /// Whether no request is in progress and all answers have been handed to the operating system.
     [[nodiscard]] bool isDrained() const noexcept;
 
--- a/src/transport/loop/caller_listener.cpp
+++ b/src/transport/loop/caller_listener.cpp
@@ -34,8 +34,12 @@
     callbacks.callerDisconnected = m_callbacks.callerDisconnected;
     callbacks.makeRefusal = m_callbacks.makeRefusal;
     callbacks.closed = [this, holder] {
-        if (const auto connection = holder->lock())
-            m_connections.erase(connection);
+        const auto connection = holder->lock();
+        if (!connection)
+            return;
+        m_connections.erase(connection);
+        if (m_callbacks.connectionClosed)
+            m_callbacks.connectionClosed(*connection);
     };
     const auto connection = caller_connection::accept(listener, m_limits, std::move(callbacks));
     if (!connection)
--- a/src/transport/loop/caller_listener.hpp
+++ b/src/transport/loop/caller_listener.hpp
@@ -20,6 +20,7 @@
     std::function<void(state::request_id)>
         callerDisconnected; ///< the caller no longer waits for the answer to this request
     std::function<std::string(int status, std::string_view reason)> makeRefusal; ///< see `caller_connection_callbacks`
+    std::function<void(const caller_connection&)> connectionClosed {}; ///< may be unset
 };
 
 /// A listening port and the connections accepted on it.
--- a/src/transport/loop/fleet_service.cpp
+++ b/src/transport/loop/fleet_service.cpp
@@ -17,20 +17,52 @@
 
 } // namespace
 
-std::optional<service_answer> fleet_service::answer(
-    const protocol::http::message& request, const state::gateway::published_fleet& known)
+bool fleet_service::receive(const protocol::http::message& request, const http_service::reply& reply)
 {
     if (protocol::http::extractPath(request.target) != fleetPath)
-        return std::nullopt;
-    const auto text = protocol::http::findParameter(request.target, "after").value_or("");
-    const auto& bytes = findOrEncode(known, protocol::http::parseUnsigned(text).value_or(0));
-    if (bytes.empty() || known.asOf == 0)
-        return service_answer { statusUnavailable, "text/plain", "nothing to give\n" };
-    return service_answer { statusOk, "application/octet-stream", bytes };
+        return false;
+    const auto after = protocol::http::findParameter(request.target, "after").value_or("");
+    const state::gateway::fetch_id id { m_nextFetch++ };
+    m_replies[id] = reply;
+    reply.whenClosed([this, id](bool isComplete) {
+        m_replies.erase(id);
+        m_sink(coordination::gateway::fetch_served { id, isComplete });
+    });
+    m_sink(coordination::gateway::fetch_requested { id,
+        std::string(protocol::http::findParameter(request.target, "from").value_or("")),
+        protocol::http::parseUnsigned(after).value_or(0) });
+    return true;
 }
 
-/// \return the encoded delta; empty if it cannot be encoded
-const std::string& fleet_service::findOrEncode(const state::gateway::published_fleet& known, state::revision after)
+void fleet_service::serve(
+    const coordination::gateway::serve_fleet& wanted, const state::gateway::published_fleet& known)
+{
+    const auto& bytes = encode(known, wanted.after);
+    if (bytes.empty())
+        return refuse({ wanted.id });
+    answer(wanted.id, { statusOk, "application/octet-stream", bytes });
+}
+
+void fleet_service::redirect(const coordination::gateway::redirect_fetch& wanted) const
+{
+    answer(wanted.id, { statusRedirect, "text/plain", wanted.ip });
+}
+
+void fleet_service::refuse(const coordination::gateway::refuse_fetch& wanted) const
+{
+    answer(wanted.id, { statusUnavailable, "text/plain", "nothing to give\n" });
+}
+
+void fleet_service::answer(state::gateway::fetch_id id, const service_answer& answer) const
+{
+    const auto waiting = m_replies.find(id);
+    if (waiting == m_replies.end())
+        return; // the other host has given up
+    const auto reply = waiting->second; // answering may end the connection, which erases the entry
+    reply(answer);
+}
+
+const std::string& fleet_service::encode(const state::gateway::published_fleet& known, state::revision after)
 {
     if (std::exchange(m_cachedRevision, known.asOf) != known.asOf || m_cache.size() > maxCachedAnswers)
         m_cache.clear();
--- a/src/transport/loop/fleet_service.hpp
+++ b/src/transport/loop/fleet_service.hpp
@@ -1,34 +1,54 @@
 #pragma once
 
+#include "coordination/gateway/effects.hpp"
+#include "coordination/gateway/events.hpp"
 #include "protocol/http/message.hpp"
 #include "state/gateway/published_fleet.hpp"
 #include "transport/loop/http_service.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <map>
-#include <optional>
 #include <string>
+#include <utility>
 
 namespace acaciaslip::transport::loop {
 
-/// Serves this host's copy of the published fleet to other hosts.
+/// Lets other hosts fetch this host's copy of the published fleet. The node decides when each of them is answered.
 ///
 /// When all hosts start at the same time, they request the complete fleet from the few hosts that already have it.
 /// Encoded answers are therefore cached until the fleet changes: encoding one costs as much as forwarding a dozen
 /// requests.
 class fleet_service {
 public:
-    /// Answers another host's fetch.
-    /// \return the answer, or nothing if the request is not a fleet fetch
-    [[nodiscard]] std::optional<service_answer> answer(
-        const protocol::http::message& request, const state::gateway::published_fleet& known);
+    using event_sink = std::function<void(coordination::gateway::event)>;
+
+    explicit fleet_service(event_sink sink)
+        : m_sink(std::move(sink))
+    {
+    }
+
+    /// Posts another host's fetch to the node, and later the end of its connection.
+    /// \return false if the request is not a fleet fetch
+    [[nodiscard]] bool receive(const protocol::http::message& request, const http_service::reply& reply);
+
+    void serve(const coordination::gateway::serve_fleet& wanted, const state::gateway::published_fleet& known);
+    void redirect(const coordination::gateway::redirect_fetch& wanted) const;
+    void refuse(const coordination::gateway::refuse_fetch& wanted) const;
+
+    /// Encodes the changes after a revision, or returns them from the cache.
+    /// \return the encoded delta; empty if it cannot be encoded
+    [[nodiscard]] const std::string& encode(const state::gateway::published_fleet& known, state::revision after);
 
     /// The number of answers that were encoded instead of served from the cache.
     [[nodiscard]] std::uint64_t encodedAnswers() const noexcept { return m_encodedAnswers; }
 
 private:
-    const std::string& findOrEncode(const state::gateway::published_fleet& known, state::revision after);
+    void answer(state::gateway::fetch_id id, const service_answer& answer) const;
 
+    event_sink m_sink;
+    std::map<state::gateway::fetch_id, http_service::reply> m_replies; ///< of open connections
+    std::uint64_t m_nextFetch = 1;
     state::revision m_cachedRevision = 0; ///< fleet revision of the cached answers
     std::map<state::revision, std::string> m_cache; ///< encoded deltas by the revision that the requesting host has
     std::uint64_t m_encodedAnswers = 0;
--- a/src/transport/loop/gateway_daemon.cpp
+++ b/src/transport/loop/gateway_daemon.cpp
@@ -37,7 +37,8 @@
           })
     , operators(owner.m_process.handle(),
           [&owner](const protocol::http::message& request, const http_service::reply& reply) {
-              reply(owner.answerOperator(request));
+              if (!owner.m_fleet.receive(request, reply))
+                  reply(owner.answerOperator(request));
           })
     , peers(owner.m_process.handle(), settings.peerPort, portOf(settings.operators),
           [&owner](auto event) { owner.post(std::move(event)); })
@@ -116,6 +117,12 @@
         owner.m_parts->peers.sendHeartbeat(wanted);
     }
     void operator()(const coordination::gateway::fetch_fleet& wanted) const { owner.m_parts->peers.fetch(wanted); }
+    void operator()(const coordination::gateway::serve_fleet& wanted) const
+    {
+        owner.m_fleet.serve(wanted, owner.m_node.published);
+    }
+    void operator()(const coordination::gateway::redirect_fetch& wanted) const { owner.m_fleet.redirect(wanted); }
+    void operator()(const coordination::gateway::refuse_fetch& wanted) const { owner.m_fleet.refuse(wanted); }
     void operator()(const coordination::gateway::watch_store& wanted) const
     {
         if (owner.m_store.watch)
@@ -206,8 +213,6 @@
     }
     if (path == "/dump")
         return { statusOk, "application/json", protocol::writeGatewayDump(m_node, *m_memory, bootNow()) };
-    if (auto answer = m_fleet.answer(request, m_node.published))
-        return std::move(*answer);
     return { statusNotFound, "text/plain", "no such path\n" };
 }
 
--- a/src/transport/loop/gateway_daemon.hpp
+++ b/src/transport/loop/gateway_daemon.hpp
@@ -101,7 +101,7 @@
     process_loop m_process;
     event_queue<coordination::gateway::event> m_queue;
     coordination::gateway::effect_list m_effects;
-    fleet_service m_fleet;
+    fleet_service m_fleet { [this](auto event) { post(std::move(event)); } };
     store_watcher m_store;
     std::function<void()> m_closing;
     std::unique_ptr<parts> m_parts;
--- a/src/transport/loop/gateway_metrics.cpp
+++ b/src/transport/loop/gateway_metrics.cpp
@@ -62,6 +62,10 @@
             "outcome", node.counters.fetchesByOutcome, coordination::gateway::fetchOutcomeNames));
     families.push_back(makeCounter(
         "acaciaslip_fleet_fetched_bytes_total", "Bytes received in these fetches", node.counters.fetchedBytes));
+    families.push_back(makeCounter(
+        "acaciaslip_fleet_transfers_total", "Large answers to other entry hosts", node.counters.fetchesServed));
+    families.push_back(makeCounter("acaciaslip_fleet_redirections_total",
+        "Entry hosts that were told to fetch from a third one", node.counters.fetchesRedirected));
     families.push_back(makeGauge("acaciaslip_hosts", "Entry hosts that share the budgets", node.share.hosts));
     families.push_back(makeGauge("acaciaslip_requests_in_progress", "Requests that callers wait for",
         static_cast<double>(node.requests.size())));
--- a/src/transport/loop/http_fetcher.cpp
+++ b/src/transport/loop/http_fetcher.cpp
@@ -4,12 +4,20 @@
 
 namespace acaciaslip::transport::loop {
 
+namespace {
+
+constexpr int maxExtensions = 3; ///< of an answer timeout; bounds the memory that an endless answer takes
+
+} // namespace
+
 struct http_fetcher::exchange {
     std::shared_ptr<http_connection> connection;
     std::unique_ptr<timer> timeout;
     fetch_timeouts timeouts;
     callback done;
     bool isAnswering = false; ///< `timeout` now measures the answer timeout
+    std::uint64_t countedBytes = 0; ///< received when `timeout` was last started
+    int extensions = 0; ///< of the answer timeout
 };
 
 http_fetcher::http_fetcher(uv_loop_t* loop, protocol::http::message_limits limits)
@@ -45,7 +53,12 @@
     if (found == m_inFlight.end())
         return;
     auto& late = *found->second;
-    if (!late.connection->isConnected() || std::exchange(late.isAnswering, true))
+    if (!late.connection->isConnected())
+        return finish(number, std::nullopt);
+    const auto received = late.connection->receivedBytes();
+    const bool progresses
+        = late.timeouts.minBytes > 0 && received - std::exchange(late.countedBytes, received) >= late.timeouts.minBytes;
+    if (std::exchange(late.isAnswering, true) && !(progresses && late.extensions++ < maxExtensions))
         return finish(number, std::nullopt);
     late.timeout->start(late.timeouts.answer);
 }
--- a/src/transport/loop/http_fetcher.hpp
+++ b/src/transport/loop/http_fetcher.hpp
@@ -18,6 +18,8 @@
 struct fetch_timeouts {
     state::duration connect {}; ///< until the connection is established
     state::duration answer {}; ///< added to `connect`; until the complete answer has been received
+    /// If not 0, `answer` is extended, three times at most, as long as so many bytes arrive within it.
+    std::uint64_t minBytes = 0;
 };
 
 /// Result of a single HTTP exchange.
--- a/src/transport/loop/http_service.hpp
+++ b/src/transport/loop/http_service.hpp
@@ -4,7 +4,9 @@
 #include "transport/loop/caller_listener.hpp"
 
 #include <functional>
+#include <memory>
 #include <string>
+#include <unordered_map>
 
 namespace acaciaslip::transport::loop {
 
@@ -20,7 +22,23 @@
 public:
     /// Sends the answer to a request. Call it once, during the handler or later; no effect after the connection is
     /// closed.
-    using reply = std::function<void(const service_answer&)>;
+    class reply {
+    public:
+        reply() = default;
+        reply(http_service& owner, state::request_id id, const std::shared_ptr<caller_connection>& to, bool keepAlive);
+
+        void operator()(const service_answer& answer) const;
+
+        /// Sets a callback for the end of the connection.
+        /// \param closed takes whether the other side has received the whole answer
+        void whenClosed(std::function<void(bool isComplete)> closed) const;
+
+    private:
+        http_service* m_owner = nullptr;
+        state::request_id m_id {};
+        std::weak_ptr<caller_connection> m_connection;
+        bool m_keepAlive = false;
+    };
     using handler = std::function<void(const protocol::http::message&, const reply&)>;
 
     http_service(uv_loop_t* loop, handler answer);
@@ -33,7 +51,10 @@
     void handleRequest(
         state::request_id id, const std::shared_ptr<caller_connection>& from, const protocol::http::message& request);
 
+    void handleClosed(const caller_connection& connection);
+
     handler m_answer;
+    std::unordered_map<const caller_connection*, std::function<void(bool)>> m_closed; ///< see `reply::whenClosed`
     caller_listener m_listener;
 };
 
--- a/src/transport/loop/peer_transport.cpp
+++ b/src/transport/loop/peer_transport.cpp
@@ -12,6 +12,8 @@
 
 constexpr protocol::http::message_limits fetchLimits { 65536, 33554432 };
 constexpr int statusOk = 200;
+/// Bytes that must arrive within a fetch's patience. Two transfers at a time on a link of 1 Mbit/s are faster.
+constexpr std::uint64_t minFetchBytes = 32768;
 
 } // namespace
 
@@ -34,6 +36,7 @@
 
 absl::Status peer_transport::start(const std::string& ip)
 {
+    m_ip = ip;
     return m_socket.bind(fmt::format("{}:{}", ip, m_datagramPort));
 }
 
@@ -62,18 +65,21 @@
     m_fetcher.close();
     const auto address = fmt::format("{}:{}", wanted.ip, m_fetchPort);
     m_fetcher.fetch(address,
-        fmt::format(
-            "GET {}?after={} HTTP/1.1\r\nHost: {}\r\nConnection: close\r\n\r\n", fleetPath, wanted.after, address),
-        { wanted.timeout, state::duration::zero() }, [this](const fetch_result& fetched) {
+        fmt::format("GET {}?after={}&from={} HTTP/1.1\r\nHost: {}\r\nConnection: close\r\n\r\n", fleetPath,
+            wanted.after, m_ip, address),
+        { wanted.patience / 2, wanted.patience / 2, minFetchBytes }, [this](const fetch_result& fetched) {
             using coordination::gateway::fetch_outcome;
             const auto outcome = fetched.answer ? handleFetchedDelta(*fetched.answer) : fetch_outcome::no_answer;
-            m_sink(coordination::gateway::fetch_finished { outcome, fetched.receivedBytes });
+            m_sink(coordination::gateway::fetch_finished {
+                outcome, fetched.receivedBytes, outcome == fetch_outcome::redirected ? fetched.answer->body : "" });
         });
 }
 
 coordination::gateway::fetch_outcome peer_transport::handleFetchedDelta(const protocol::http::message& answer)
 {
     using coordination::gateway::fetch_outcome;
+    if (answer.status == statusRedirect)
+        return fetch_outcome::redirected;
     if (answer.status != statusOk)
         return fetch_outcome::refused;
     auto delta = protocol::decodeDelta(answer.body);
--- a/src/transport/loop/peer_transport.hpp
+++ b/src/transport/loop/peer_transport.hpp
@@ -14,6 +14,7 @@
 
 /// Path on the operators' port from which other hosts fetch the published fleet.
 inline constexpr std::string_view fleetPath = "/fleet";
+inline constexpr int statusRedirect = 307; ///< the answer's body is the address of the host to fetch from instead
 
 /// Exchange with other entry hosts: heartbeats over UDP, and the published fleet over HTTP.
 class peer_transport {
@@ -39,6 +40,7 @@
 private:
     coordination::gateway::fetch_outcome handleFetchedDelta(const protocol::http::message& answer);
 
+    std::string m_ip; ///< of this host; empty until `start`
     int m_datagramPort;
     int m_fetchPort;
     event_sink m_sink;
--- a/src/transport/loop/tcp_stream.cpp
+++ b/src/transport/loop/tcp_stream.cpp
@@ -245,7 +245,10 @@
     m_lingerTimer->start(lingerTimeout);
     m_callbacks = {};
     m_callbacks.received = [](std::string_view) {};
-    m_callbacks.endOfStream = [self = shared_from_this()] { self->close(); };
+    m_callbacks.endOfStream = [self = shared_from_this()] {
+        self->m_peerClosed = true;
+        self->close();
+    };
     auto* const request = new uv_shutdown_t {};
     const int status = uv_shutdown(
         request, reinterpret_cast<uv_stream_t*>(m_handle), [](uv_shutdown_t* done, int /*status*/) { delete done; });
--- a/src/transport/loop/tcp_stream.hpp
+++ b/src/transport/loop/tcp_stream.hpp
@@ -69,6 +69,9 @@
     /// Returns whether a read would not block: bytes, the end of the stream or an error are pending.
     [[nodiscard]] bool hasPendingInput() const;
 
+    /// Returns whether the peer has closed its side after this side's shutdown, so that it has received all bytes.
+    [[nodiscard]] bool hasPeerClosed() const noexcept { return m_peerClosed; }
+
     [[nodiscard]] std::size_t pendingBytes() const noexcept
     {
         return m_unwritten;
@@ -88,6 +91,7 @@
     stream_callbacks m_callbacks;
     std::size_t m_unwritten = 0;
     bool m_closed = false;
+    bool m_peerClosed = false;
     bool m_closesWhenWritten = false; ///< close when all writes have finished
     std::unique_ptr<timer> m_lingerTimer;
     std::function<void()> m_onClosed;
--- a/tests/coordination/gateway/simulated_hosts.hpp
+++ b/tests/coordination/gateway/simulated_hosts.hpp
@@ -143,7 +143,13 @@
             if (const auto* sent = std::get_if<send_peer_message>(&requested))
                 deliver(ip, sent->ip, sent->message);
             else if (const auto* fetched = std::get_if<fetch_fleet>(&requested))
-                serveFetch(ip, *fetched);
+                requestFetch(ip, *fetched);
+            else if (const auto* served = std::get_if<serve_fleet>(&requested))
+                startTransfer(ip, *served);
+            else if (const auto* redirected = std::get_if<redirect_fetch>(&requested))
+                answerFetch(redirected->id, { fetch_outcome::redirected, 0, redirected->ip });
+            else if (const auto* refused = std::get_if<refuse_fetch>(&requested))
+                answerFetch(refused->id, { fetch_outcome::refused, 0, {} });
             else if (const auto* watch = std::get_if<watch_store>(&requested))
                 recordWatch(ip, *watch);
             else if (const auto* line = std::get_if<log_event>(&requested))
@@ -236,22 +242,52 @@
         });
     }
 
-    void serveFetch(const std::string& ip, const fetch_fleet& requested)
+    void requestFetch(const std::string& ip, const fetch_fleet& requested)
     {
-        endFetch(ip); // a host has one fetch at a time
-        auto& running = m_fetches[ip];
-        running.endsAt = now + requested.timeout;
-        if (isPartitioned(ip, requested.ip) || !nodes.contains(requested.ip))
+        const state::gateway::fetch_id id { m_nextFetch++ };
+        m_fetches[id] = { ip, requested.ip, 0, now + requested.patience, requested.patience };
+        if (isPartitioned(ip, requested.ip))
             return;
-        m_inbox.push_back([this, ip, requested] {
-            if (!nodes.contains(requested.ip) || !m_fetches.contains(ip))
-                return;
-            const auto delta = makeDelta(nodes.at(requested.ip).published, requested.after);
-            m_fetches[ip].transfer
-                = links.start(requested.ip, ip, estimateBytes(delta), [this, ip, delta] { finishFetch(ip, delta); });
+        m_inbox.push_back([this, id, ip, requested] {
+            if (nodes.contains(requested.ip))
+                handleEvent(requested.ip, fetch_requested { id, ip, requested.after });
         });
     }
 
+    void startTransfer(const std::string& source, const serve_fleet& served)
+    {
+        const auto found = m_fetches.find(served.id);
+        if (found == m_fetches.end())
+            return;
+        const auto delta = makeDelta(nodes.at(source).published, served.after);
+        found->second.transfer
+            = links.start(source, found->second.ip, estimateBytes(delta), [this, id = served.id, delta] {
+                  const auto ip = m_fetches.at(id).ip;
+                  if (nodes.contains(ip))
+                      handleEvent(ip, fleet_update_received { delta, fleet_source::peer });
+                  endFetch(id, { fetch_outcome::received, 0, {} });
+              });
+    }
+
+    void answerFetch(state::gateway::fetch_id id, const fetch_finished& answer)
+    {
+        m_inbox.push_back([this, id, answer] { endFetch(id, answer); });
+    }
+
+    /// Ends a fetch for both of its hosts.
+    void endFetch(state::gateway::fetch_id id, const fetch_finished& finished)
+    {
+        const auto ended = m_fetches.extract(id);
+        if (ended.empty())
+            return;
+        const auto& fetch = ended.mapped();
+        links.cancel(fetch.transfer);
+        if (nodes.contains(fetch.ip))
+            handleEvent(fetch.ip, finished);
+        if (nodes.contains(fetch.source))
+            handleEvent(fetch.source, fetch_served { id, finished.outcome == fetch_outcome::received });
+    }
+
     /// Bytes of a delta between hosts.
     [[nodiscard]] static double estimateBytes(const state::gateway::fleet_delta& delta)
     {
@@ -263,42 +299,31 @@
             + bytesPerServer * static_cast<double>(changes.servers.size());
     }
 
-    void finishFetch(const std::string& ip, const state::gateway::fleet_delta& delta)
-    {
-        m_fetches.erase(ip);
-        if (!nodes.contains(ip))
-            return;
-        handleEvent(ip, fleet_update_received { delta, fleet_source::peer });
-        handleEvent(ip, fetch_finished { fetch_outcome::received, 0 });
-    }
-
-    void endFetch(const std::string& ip)
-    {
-        const auto ended = m_fetches.extract(ip);
-        if (!ended.empty())
-            links.cancel(ended.mapped().transfer);
-    }
-
     void endLateFetches()
     {
-        std::vector<std::string> late;
-        for (const auto& [ip, running] : m_fetches) {
-            if (now >= running.endsAt)
-                late.push_back(ip);
-        }
-        for (const auto& ip : late) {
-            endFetch(ip);
-            if (nodes.contains(ip))
-                handleEvent(ip, fetch_finished { fetch_outcome::no_answer, 0 });
+        std::vector<state::gateway::fetch_id> late;
+        for (auto& [id, fetch] : m_fetches) {
+            const bool receives = links.isRunning(fetch.transfer) && nodes.contains(fetch.source)
+                && !isPartitioned(fetch.ip, fetch.source);
+            if (receives)
+                fetch.endsAt = now + fetch.patience;
+            else if (now >= fetch.endsAt)
+                late.push_back(id);
         }
+        for (const auto id : late)
+            endFetch(id, { fetch_outcome::no_answer, 0, {} });
     }
 
     struct running_fetch {
+        std::string ip; ///< of the host that fetches
+        std::string source;
         simulated_links::transfer_id transfer = 0;
-        state::time_point endsAt;
+        state::time_point endsAt; ///< unless bytes arrive
+        state::duration patience {};
     };
 
-    std::map<std::string, running_fetch> m_fetches; ///< by the host that fetches
+    std::map<state::gateway::fetch_id, running_fetch> m_fetches;
+    std::uint64_t m_nextFetch = 1;
     state::gateway::configuration m_config; ///< the latest one published
     std::map<std::string, random_generator> m_random;
     random_generator m_lossRandom { 5 };
--- a/tests/coordination/gateway/simulated_links.hpp
+++ b/tests/coordination/gateway/simulated_links.hpp
@@ -27,6 +27,8 @@
 
     void cancel(transfer_id id) { m_transfers.erase(id); }
 
+    [[nodiscard]] bool isRunning(transfer_id id) const { return m_transfers.contains(id); }
+
     /// Cancels the transfers from and to a host.
     void cancelAllOf(const std::string& ip)
     {
