Send only the changed routes of a configuration between hosts

Each host now records at which revision a route has last changed, at the latest, and sends those after the revision that the other host has, with a digest of the configuration that results. A host that cannot apply them, because the sender has skipped a change that was undone later, asks for the whole fleet. Hosts of the version before ask without `changes` and receive whole configurations. Routes are kept sorted by host and prefix; of two with the same key the first one is kept, as before only the first was ever used. The cache of encoded answers now holds four, as its constant says, not five.

--- a/fuzz/targets.cpp
+++ b/fuzz/targets.cpp
@@ -159,6 +159,12 @@
     config.routes
         = { { "r", "x", "/", state::gateway::request_kind::idempotent, 600ms, 1200ms, 2, 1, { { "a", 1 } } } };
     config.services = { { "a", "/health", 100, 3s, 3.4 } };
+    auto& changes = delta.configChanges.emplace();
+    changes.revisionNumber = 6;
+    changes.version = 4;
+    changes.routes = config.routes;
+    changes.removedRoutes = { { "x", "/gone/" } };
+    changes.services = config.services;
     delta.changes.servers["s1"]
         = { 2, state::gateway::server_entry { "s1", "a", "10.1.0.1:80", "a", 4, false, {}, 1 } };
     delta.changes.servers["s2"] = { 4, std::nullopt };
--- a/src/coordination/gateway/effects.hpp
+++ b/src/coordination/gateway/effects.hpp
@@ -76,6 +76,7 @@
 struct serve_fleet {
     state::gateway::fetch_id id {};
     state::revision after = 0;
+    bool readsChanges = true; ///< see `fetch_requested`
 };
 
 /// Tell another host that has asked for changes which host to ask instead.
--- a/src/coordination/gateway/events.hpp
+++ b/src/coordination/gateway/events.hpp
@@ -124,6 +124,7 @@
     state::gateway::fetch_id id {};
     state::gateway::peer_ip ip; ///< address of the other host; empty if it does not tell
     state::revision after = 0; ///< everything up to this revision is known there
+    bool readsChanges = true; ///< false: it is older than `configuration_changes` and needs whole configurations
 };
 
 /// The connection of another host's fetch has ended.
--- a/src/coordination/gateway/fleet_merge.cpp
+++ b/src/coordination/gateway/fleet_merge.cpp
@@ -1,32 +1,19 @@
 #include "coordination/gateway/fleet_merge.hpp"
 
+#include "coordination/gateway/configuration_merge.hpp"
+
 #include <algorithm>
 
 namespace acaciaslip::coordination::gateway {
 
 namespace {
 
-using state::gateway::configuration;
 using state::gateway::fleet_delta;
 using state::gateway::published_fleet;
-using state::gateway::versioned;
 
 /// Maximum number of removals kept for peers that lag behind; a peer that lags further receives a snapshot.
 constexpr std::ptrdiff_t maxTombstones = 1000;
 
-bool isOlderVersion(const versioned<configuration>& known, const versioned<configuration>& read)
-{
-    return known.value && (!read.value || read.value->version < known.value->version);
-}
-
-bool mergeConfiguration(versioned<configuration>& known, const versioned<configuration>& read)
-{
-    if (read.revisionNumber <= known.revisionNumber || isOlderVersion(known, read))
-        return false;
-    known = read;
-    return true;
-}
-
 template <typename Items> bool mergeItems(Items& known, const Items& read)
 {
     bool changed = false;
@@ -92,9 +79,11 @@
         return {};
     if (delta.snapshot && read.asOf < known.asOf)
         return {};
-    merge_result result { true, false };
-    if (read.config.revisionNumber > 0)
-        result.changed |= mergeConfiguration(known.config, read.config);
+    const bool hasChanges = delta.configChanges && delta.configChanges->revisionNumber > known.config.revisionNumber;
+    if (hasChanges && !mergeConfigurationChanges(known.config, *delta.configChanges))
+        return {};
+    merge_result result { true, hasChanges };
+    result.changed |= mergeConfiguration(known.config, read.config);
     result.changed |= mergeItems(known.servers, read.servers);
     result.changed |= mergeItems(known.evacuations, read.evacuations);
     if (delta.snapshot) {
@@ -112,11 +101,14 @@
 fleet_delta makeDelta(const published_fleet& known, state::revision after)
 {
     if (after < known.tombstonesSince || after > known.asOf)
-        return { true, 0, withoutTombstones(known) };
-    fleet_delta delta { false, after, {} };
+        return { true, 0, withoutTombstones(known), {} };
+    fleet_delta delta { false, after, {}, {} };
     delta.changes.asOf = known.asOf;
-    if (known.config.revisionNumber > after)
-        delta.changes.config = known.config;
+    if (known.config.revisionNumber > after) {
+        delta.configChanges = makeConfigurationChanges(known.config, after);
+        if (!delta.configChanges)
+            delta.changes.config = known.config;
+    }
     copyNewer(known.servers, after, delta.changes.servers);
     copyNewer(known.evacuations, after, delta.changes.evacuations);
     return delta;
--- a/src/coordination/gateway/fleet_relay.cpp
+++ b/src/coordination/gateway/fleet_relay.cpp
@@ -58,7 +58,9 @@
 {
     self.fetch.source = source;
     self.fetch.startedAt = now;
-    effects.emplace_back(fetch_fleet { source, self.published.asOf, fetchPatience });
+    const bool needsWhole = self.fetch.needsWhole || !self.published.config.value;
+    const auto after = needsWhole ? 0 : self.published.asOf;
+    effects.emplace_back(fetch_fleet { source, after, fetchPatience });
 }
 
 } // namespace
@@ -68,6 +70,8 @@
 {
     const auto before = self.published.asOf;
     applyFleetUpdate(self, published, now, effects);
+    const auto& changes = published.delta.configChanges;
+    self.fetch.needsWhole = changes && changes->revisionNumber > self.published.config.revisionNumber;
     if (self.published.asOf <= before)
         return;
     self.fetch.failedSource.clear();
--- a/src/coordination/gateway/fleet_serving.cpp
+++ b/src/coordination/gateway/fleet_serving.cpp
@@ -1,5 +1,7 @@
 #include "coordination/gateway/fleet_serving.hpp"
 
+#include "coordination/gateway/configuration_merge.hpp"
+
 #include <algorithm>
 
 namespace acaciaslip::coordination::gateway {
@@ -24,9 +26,8 @@
 /// Number of items in the answer to a host that knows everything up to a revision.
 std::size_t countItems(const state::gateway::published_fleet& known, state::revision after)
 {
-    const bool sendsConfig = known.config.value && known.config.revisionNumber > after;
     return countNewer(known.servers, after) + countNewer(known.evacuations, after)
-        + (sendsConfig ? known.config.value->routes.size() + known.config.value->services.size() : 0);
+        + countConfigurationChanges(known.config, after);
 }
 
 bool hasFreeTurn(const fleet_serving& serving, state::time_point now)
@@ -44,7 +45,7 @@
         serving.waiting.pop_front();
         serving.transfers[next.id] = { next.ip, now };
         ++self.counters.fetchesServed;
-        effects.emplace_back(serve_fleet { next.id, next.after });
+        effects.emplace_back(serve_fleet { next.id, next.after, next.readsChanges });
     }
 }
 
@@ -72,10 +73,10 @@
         return;
     }
     if (countItems(self.published, requested.after) <= maxSmallItems) {
-        effects.emplace_back(serve_fleet { requested.id, requested.after });
+        effects.emplace_back(serve_fleet { requested.id, requested.after, requested.readsChanges });
         return;
     }
-    self.serving.waiting.push_back({ requested.id, requested.ip, requested.after });
+    self.serving.waiting.push_back({ requested.id, requested.ip, requested.after, requested.readsChanges });
     startWaiting(self, now, effects);
 }
 
--- a/src/coordination/gateway/node.hpp
+++ b/src/coordination/gateway/node.hpp
@@ -100,6 +100,7 @@
     state::gateway::peer_ip source; ///< peer of the fetch in progress; empty: there is none
     state::time_point startedAt; ///< of the fetch in progress
     std::uint32_t redirections = 0; ///< of the fetch in progress
+    bool needsWhole = false; ///< changes of the configuration could not be applied
     state::gateway::peer_ip failedSource; ///< peer of the latest fetch if it brought nothing
 };
 
@@ -109,6 +110,7 @@
         state::gateway::fetch_id id {};
         state::gateway::peer_ip ip;
         state::revision after = 0;
+        bool readsChanges = true;
     };
     struct transfer {
         state::gateway::peer_ip ip;
--- a/src/coordination/gateway/store_watch.cpp
+++ b/src/coordination/gateway/store_watch.cpp
@@ -190,7 +190,7 @@
 bool isRelayable(const state::gateway::fleet_delta& delta) noexcept
 {
     const auto& changes = delta.changes;
-    return !delta.snapshot && !changes.config.value
+    return !delta.snapshot && !changes.config.value && !delta.configChanges
         && changes.servers.size() + changes.evacuations.size() <= maxRelayedChanges;
 }
 
--- a/src/protocol/gateway_peer.thrift
+++ b/src/protocol/gateway_peer.thrift
@@ -62,6 +62,25 @@
   3: required bool evacuated
 }
 
+struct route_key {
+  1: required string host
+  2: required string pathPrefix
+}
+
+/** The parts in which a configuration differs from earlier ones; services are given if any of them has changed. */
+struct configuration_changes {
+  1: required i64 number
+  2: required i64 version
+  3: required i64 headerBytes
+  4: required i64 bodyBytes
+  5: required i64 headerTimeout
+  6: required i64 idleTimeout
+  7: required list<route> routes
+  8: required list<route_key> removedRoutes
+  9: optional list<service_description> services
+  10: required i64 digest
+}
+
 struct fleet_delta {
   1: required bool snapshot
   2: required i64 after
@@ -70,6 +89,7 @@
   5: optional configuration config
   6: required list<revised_server> servers
   7: required list<revised_evacuation> evacuations
+  8: optional configuration_changes configChanges
 }
 
 /** The age is in tenths of a second; dataCentre is an index into peer_heartbeat.dataCentres. */
--- a/src/protocol/gateway_peer_codec.cpp
+++ b/src/protocol/gateway_peer_codec.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <array>
+#include <bit>
 #include <cmath>
 #include <limits>
 
@@ -121,6 +122,15 @@
     return wireStruct;
 }
 
+std::vector<fleet::service> fromWire(const std::vector<wire::service_description>& wireStructs)
+{
+    std::vector<fleet::service> services;
+    for (const auto& service : wireStructs)
+        services.push_back({ service.name, service.healthPath, checked<std::uint32_t>(service.maxConnections),
+            toDuration(service.coldStart), service.coldRequestsPerSecond });
+    return services;
+}
+
 fleet::configuration fromWire(const wire::configuration& wireStruct)
 {
     fleet::configuration config;
@@ -129,12 +139,52 @@
         toDuration(wireStruct.headerTimeout), toDuration(wireStruct.idleTimeout) };
     for (const auto& route : wireStruct.routes)
         config.routes.push_back(fromWire(route));
-    for (const auto& service : wireStruct.services)
-        config.services.push_back({ service.name, service.healthPath, checked<std::uint32_t>(service.maxConnections),
-            toDuration(service.coldStart), service.coldRequestsPerSecond });
+    config.services = fromWire(wireStruct.services);
     return config;
 }
 
+wire::configuration_changes toWire(const fleet::configuration_changes& changes)
+{
+    wire::configuration_changes wireStruct;
+    wireStruct.number = static_cast<std::int64_t>(changes.revisionNumber);
+    wireStruct.version = changes.version;
+    wireStruct.headerBytes = static_cast<std::int64_t>(changes.limits.headerBytes);
+    wireStruct.bodyBytes = static_cast<std::int64_t>(changes.limits.bodyBytes);
+    wireStruct.headerTimeout = toMicroseconds(changes.limits.headerTimeout);
+    wireStruct.idleTimeout = toMicroseconds(changes.limits.idleTimeout);
+    for (const auto& route : changes.routes)
+        wireStruct.routes.push_back(toWire(route));
+    for (const auto& key : changes.removedRoutes) {
+        auto& added = wireStruct.removedRoutes.emplace_back();
+        added.host = key.host;
+        added.pathPrefix = key.pathPrefix;
+    }
+    wireStruct.digest = std::bit_cast<std::int64_t>(changes.digest);
+    if (changes.services) {
+        wireStruct.__isset.services = true;
+        for (const auto& service : *changes.services)
+            wireStruct.services.push_back(toWire(service));
+    }
+    return wireStruct;
+}
+
+fleet::configuration_changes fromWire(const wire::configuration_changes& wireStruct)
+{
+    fleet::configuration_changes changes;
+    changes.revisionNumber = checked<state::revision>(wireStruct.number);
+    changes.version = checked<std::uint32_t>(wireStruct.version);
+    changes.limits = { checked<std::uint64_t>(wireStruct.headerBytes), checked<std::uint64_t>(wireStruct.bodyBytes),
+        toDuration(wireStruct.headerTimeout), toDuration(wireStruct.idleTimeout) };
+    for (const auto& route : wireStruct.routes)
+        changes.routes.push_back(fromWire(route));
+    for (const auto& key : wireStruct.removedRoutes)
+        changes.removedRoutes.push_back({ key.host, key.pathPrefix });
+    changes.digest = std::bit_cast<std::uint64_t>(wireStruct.digest);
+    if (wireStruct.__isset.services)
+        changes.services = fromWire(wireStruct.services);
+    return changes;
+}
+
 wire::revised_server toWire(const state::host_id& id, const fleet::versioned<fleet::server_entry>& item)
 {
     wire::revised_server wireStruct;
@@ -175,6 +225,8 @@
         wireStruct.__set_configNumber(static_cast<std::int64_t>(delta.changes.config.revisionNumber));
         wireStruct.__set_config(toWire(*delta.changes.config.value));
     }
+    if (delta.configChanges)
+        wireStruct.__set_configChanges(toWire(*delta.configChanges));
     for (const auto& [id, item] : delta.changes.servers)
         wireStruct.servers.push_back(toWire(id, item));
     for (const auto& [dataCentre, item] : delta.changes.evacuations) {
@@ -193,7 +245,9 @@
     delta.after = checked<state::revision>(wireStruct.after);
     delta.changes.asOf = checked<state::revision>(wireStruct.asOf);
     if (wireStruct.__isset.config && wireStruct.__isset.configNumber)
-        delta.changes.config = { checked<state::revision>(wireStruct.configNumber), fromWire(wireStruct.config) };
+        delta.changes.config = { checked<state::revision>(wireStruct.configNumber), fromWire(wireStruct.config), {} };
+    if (wireStruct.__isset.configChanges)
+        delta.configChanges = fromWire(wireStruct.configChanges);
     for (const auto& server : wireStruct.servers)
         delta.changes.servers[server.id] = fromWire(server);
     for (const auto& evacuation : wireStruct.evacuations) {
--- a/src/state/gateway/published_fleet.hpp
+++ b/src/state/gateway/published_fleet.hpp
@@ -4,6 +4,7 @@
 #include "state/identifiers.hpp"
 #include "state/time.hpp"
 
+#include <compare>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -39,11 +40,52 @@
     [[nodiscard]] bool operator==(const evacuation&) const = default;
 };
 
+/// Identifies a route within a configuration.
+struct route_key {
+    std::string host;
+    std::string pathPrefix;
+
+    [[nodiscard]] auto operator<=>(const route_key&) const = default;
+};
+
+/// The revisions at which the parts of a configuration have last changed, or later ones.
+struct configuration_history {
+    revision since = 0; ///< every change after this revision is known
+    revision services = 0;
+    std::vector<revision> routes; ///< in the order of the configuration's routes
+    std::map<route_key, revision> removedRoutes;
+
+    [[nodiscard]] bool operator==(const configuration_history&) const = default;
+};
+
+/// The published configuration. A removal of the item leaves the latest configuration in force.
+struct published_configuration {
+    revision revisionNumber = 0;
+    std::optional<configuration> value; ///< its routes are sorted by key, unless it has just been read
+    configuration_history history {}; ///< kept by `mergeDelta`
+
+    [[nodiscard]] bool operator==(const published_configuration&) const = default;
+};
+
+/// The parts in which a configuration differs from earlier ones.
+struct configuration_changes {
+    revision revisionNumber = 0;
+    std::uint32_t version = 0;
+    caller_limits limits;
+    std::optional<std::vector<service>> services; ///< all of them, if any has changed
+    std::vector<route> routes; ///< added and changed ones
+    std::vector<route_key> removedRoutes;
+    /// Digest of the routes and services that result. The sender may have missed a change that was undone later.
+    std::uint64_t digest = 0;
+
+    [[nodiscard]] bool operator==(const configuration_changes&) const = default;
+};
+
 /// All published items as of one revision. Removed items are kept as tombstones until a snapshot replaces them.
 struct published_fleet {
     revision asOf = 0; ///< every change up to this revision is included; 0: nothing was read yet
     revision tombstonesSince = 0; ///< every removal after this revision is known
-    versioned<configuration> config;
+    published_configuration config;
     std::map<host_id, versioned<server_entry>> servers;
     std::map<data_centre_id, versioned<evacuation>> evacuations;
 
@@ -55,6 +97,7 @@
     bool snapshot = false; ///< items that it does not contain do not exist
     revision after = 0; ///< the delta contains every change after this revision
     published_fleet changes;
+    std::optional<configuration_changes> configChanges {}; ///< instead of a whole configuration
 
     [[nodiscard]] bool operator==(const fleet_delta&) const = default;
 };
--- a/src/transport/loop/fleet_service.cpp
+++ b/src/transport/loop/fleet_service.cpp
@@ -30,14 +30,15 @@
     });
     m_sink(coordination::gateway::fetch_requested { id,
         std::string(protocol::http::findParameter(request.target, "from").value_or("")),
-        protocol::http::parseUnsigned(after).value_or(0) });
+        protocol::http::parseUnsigned(after).value_or(0),
+        protocol::http::findParameter(request.target, "changes").has_value() });
     return true;
 }
 
 void fleet_service::serve(
     const coordination::gateway::serve_fleet& wanted, const state::gateway::published_fleet& known)
 {
-    const auto& bytes = encode(known, wanted.after);
+    const auto& bytes = encode(known, wanted.after, wanted.readsChanges);
     if (bytes.empty())
         return refuse({ wanted.id });
     answer(wanted.id, { statusOk, "application/octet-stream", bytes });
@@ -62,14 +63,18 @@
     reply(answer);
 }
 
-const std::string& fleet_service::encode(const state::gateway::published_fleet& known, state::revision after)
+const std::string& fleet_service::encode(
+    const state::gateway::published_fleet& known, state::revision after, bool readsChanges)
 {
-    if (std::exchange(m_cachedRevision, known.asOf) != known.asOf || m_cache.size() > maxCachedAnswers)
+    if (std::exchange(m_cachedRevision, known.asOf) != known.asOf || m_cache.size() >= maxCachedAnswers)
         m_cache.clear();
-    const auto [cached, isNew] = m_cache.try_emplace(after);
+    const auto [cached, isNew] = m_cache.try_emplace({ after, readsChanges });
     if (isNew) {
         ++m_encodedAnswers;
-        cached->second = protocol::encodeDelta(coordination::gateway::makeDelta(known, after)).value_or("");
+        auto delta = coordination::gateway::makeDelta(known, after);
+        if (!readsChanges && std::exchange(delta.configChanges, std::nullopt))
+            delta.changes.config = known.config;
+        cached->second = protocol::encodeDelta(delta).value_or("");
     }
     return cached->second;
 }
--- a/src/transport/loop/fleet_service.hpp
+++ b/src/transport/loop/fleet_service.hpp
@@ -38,7 +38,8 @@
 
     /// Encodes the changes after a revision, or returns them from the cache.
     /// \return the encoded delta; empty if it cannot be encoded
-    [[nodiscard]] const std::string& encode(const state::gateway::published_fleet& known, state::revision after);
+    [[nodiscard]] const std::string& encode(
+        const state::gateway::published_fleet& known, state::revision after, bool readsChanges = true);
 
     /// The number of answers that were encoded instead of served from the cache.
     [[nodiscard]] std::uint64_t encodedAnswers() const noexcept { return m_encodedAnswers; }
@@ -50,7 +51,8 @@
     std::map<state::gateway::fetch_id, http_service::reply> m_replies; ///< of open connections
     std::uint64_t m_nextFetch = 1;
     state::revision m_cachedRevision = 0; ///< fleet revision of the cached answers
-    std::map<state::revision, std::string> m_cache; ///< encoded deltas by the revision that the requesting host has
+    /// Encoded deltas by the revision that the requesting host has, and whether it reads changes of a configuration.
+    std::map<std::pair<state::revision, bool>, std::string> m_cache;
     std::uint64_t m_encodedAnswers = 0;
 };
 
--- a/src/transport/loop/peer_transport.cpp
+++ b/src/transport/loop/peer_transport.cpp
@@ -65,7 +65,7 @@
     m_fetcher.close();
     const auto address = fmt::format("{}:{}", wanted.ip, m_fetchPort);
     m_fetcher.fetch(address,
-        fmt::format("GET {}?after={}&from={} HTTP/1.1\r\nHost: {}\r\nConnection: close\r\n\r\n", fleetPath,
+        fmt::format("GET {}?after={}&changes=1&from={} HTTP/1.1\r\nHost: {}\r\nConnection: close\r\n\r\n", fleetPath,
             wanted.after, m_ip, address),
         { wanted.patience / 2, wanted.patience / 2, minFetchBytes }, [this](const fetch_result& fetched) {
             using coordination::gateway::fetch_outcome;
--- a/tests/coordination/gateway/large_configuration_test.cpp
+++ b/tests/coordination/gateway/large_configuration_test.cpp
@@ -57,7 +57,25 @@
     }
 }
 
-/// Guards against a small change that is sent with all routes of a large configuration.
+/// Guards against a change of a few routes that is sent with all routes of a large configuration: 312 hosts with 2,820
+/// routes received 203 KB each.
+TEST_P(large_configuration_test, Configuration_FewRoutesChange_FewBytesAreSentToEachHost)
+{
+    constexpr double maxBytesPerHost = 17'000; // what control may cost a host in a second
+    m_hosts.publishConfiguration(largeChange);
+    m_hosts.run(GetParam().bound);
+    m_hosts.publishConfiguration(largeChange);
+    m_hosts.run(GetParam().bound * 2);
+    m_hosts.links.sentBytes.clear();
+    m_hosts.publishConfiguration(2);
+    m_hosts.run(GetParam().bound);
+    EXPECT_EQ(countHostsBefore(4), 0U);
+    double sent = 0;
+    for (const auto& [ip, bytes] : m_hosts.links.sentBytes)
+        sent += bytes;
+    EXPECT_LE(sent / static_cast<double>(m_hosts.nodes.size()), maxBytesPerHost);
+}
+
 TEST_P(large_configuration_test, Configuration_SmallChangeAfterManyRoutesMore_InForceOnEveryHostWithinBound)
 {
     m_hosts.publishConfiguration(largeChange);
--- a/tests/coordination/gateway/simulated_hosts.hpp
+++ b/tests/coordination/gateway/simulated_hosts.hpp
@@ -294,7 +294,8 @@
         constexpr double bytesPerRoute = 72;
         constexpr double bytesPerServer = 110;
         const auto& changes = delta.changes;
-        const auto routes = changes.config.value ? changes.config.value->routes.size() : 0;
+        const auto routes = (changes.config.value ? changes.config.value->routes.size() : 0)
+            + (delta.configChanges ? delta.configChanges->routes.size() : 0);
         return bytesPerRoute * static_cast<double>(routes)
             + bytesPerServer * static_cast<double>(changes.servers.size());
     }
--- a/tests/protocol/gateway_peer_codec_test.cpp
+++ b/tests/protocol/gateway_peer_codec_test.cpp
@@ -22,6 +22,14 @@
         config.routes = { { "r", "h", "/p/", state::gateway::request_kind::idempotent, 600ms, 1200ms, 2, 1,
             { { "a", 90 }, { "b", 10 } } } };
         config.services = { { "a", "/health", 220, 3s, 3.4 } };
+        auto& changes = delta.configChanges.emplace();
+        changes.revisionNumber = 75;
+        changes.version = 13;
+        changes.limits = config.limits;
+        changes.routes = config.routes;
+        changes.removedRoutes = { { "h", "/gone/" } };
+        changes.services = config.services;
+        changes.digest = 0xfedcba9876543210;
         delta.changes.servers["s1"]
             = { 71, state::gateway::server_entry { "s1", "a", "10.0.0.1:80", "dc-a", 4, true, 1500ms, 123456789 } };
         delta.changes.servers["s2"] = { 72, std::nullopt };
--- a/tests/transport/loop/fleet_service_test.cpp
+++ b/tests/transport/loop/fleet_service_test.cpp
@@ -1,5 +1,6 @@
 #include "transport/loop/fleet_service.hpp"
 
+#include "coordination/gateway/fleet_merge.hpp"
 #include "protocol/gateway_peer_codec.hpp"
 #include "transport/loop/loop_fixture.hpp"
 #include "transport/loop/peer_transport.hpp"
@@ -104,6 +105,31 @@
         EXPECT_EQ(countServers(after), 20U - after);
 }
 
+/// During an upgrade, a host of the version before asks without saying that it reads changes of a configuration.
+TEST_F(fleet_service_test, Configuration_HostReadsNoChanges_WholeOneIsSent)
+{
+    state::gateway::configuration config;
+    for (std::uint32_t version = 1; version <= 2; ++version) {
+        config.version = version;
+        state::gateway::route route;
+        route.pathPrefix = "/" + std::to_string(version) + "/";
+        route.split = { { "a", 1 } };
+        config.routes.push_back(route);
+        state::gateway::fleet_delta delta { false, m_known.asOf, {} };
+        delta.changes.asOf = version;
+        delta.changes.config = { version, config };
+        ASSERT_TRUE(gateway::mergeDelta(m_known, delta).changed);
+    }
+    const auto changes = protocol::decodeDelta(m_service.encode(m_known, 1, true));
+    ASSERT_TRUE(changes.ok() && changes->configChanges);
+    EXPECT_EQ(changes->configChanges->routes.size(), 1U);
+    EXPECT_FALSE(changes->changes.config.value);
+    const auto whole = protocol::decodeDelta(m_service.encode(m_known, 1, false));
+    ASSERT_TRUE(whole.ok() && whole->changes.config.value);
+    EXPECT_EQ(whole->changes.config.value->routes.size(), 2U);
+    EXPECT_FALSE(whole->configChanges);
+}
+
 TEST_F(fleet_service_test, Fetch_Served_BothHostsLearnThatItIsComplete)
 {
     for (int index = 0; index < 3000; ++index)
