Read large answers of the store to their end while their bytes arrive

The watcher with a link of 10 Mbit/s logged store_lost ("request timed out", silent_ms=1946) although the store was sending it the large configuration: a read was given up after a fixed time, whatever had arrived, and began again. Now a read goes on, for 3.2 s at most, as long as 64 KiB arrive in each 400 ms. The new test failed before (3 listings, 4 watches, twice lost); one with an answer in drips holds on both.

--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -23,6 +23,10 @@
 constexpr protocol::http::message_limits responseLimits { 65536, 4194304 };
 /// Time that the store needs for an answer, including the network and a busy host.
 constexpr state::duration answerMargin = std::chrono::milliseconds { 400 };
+/// Bytes that must arrive within `answerMargin` once an answer's time is over. A value of the largest size then arrives
+/// within the time that a change may take.
+constexpr std::uint64_t minAnswerBytes = 65536;
+constexpr int maxAnswerExtensions = 8; ///< by `answerMargin` each
 constexpr std::chrono::milliseconds minWatchWait { 200 };
 /// Wait of a watch while it is unknown whether the store is reachable. The store then responds immediately, so that a
 /// lost response is noticed early.
@@ -48,7 +52,7 @@
     , m_address(std::move(address))
     , m_sink(std::move(sink))
     , m_log(std::move(log))
-    , m_timeout(loop, [this] { handleFailure("request timed out"); })
+    , m_timeout(loop, [this] { handleTimeout(); })
     , m_delay(loop, [this] { callNext(); })
     , m_random(std::random_device {}())
 {
@@ -160,10 +164,22 @@
         m_connection = transport::loop::http_connection::open(m_loop, *to, responseLimits, std::move(callbacks));
     }
     ++m_calls;
+    m_countedBytes = m_connection->receivedBytes();
+    m_extensions = 0;
     m_timeout.start(timeout);
     m_connection->send(fmt::format("GET {} HTTP/1.1\r\nHost: {}\r\n\r\n", target, m_address));
 }
 
+/// A large answer may take longer than its time over a thin link, so it is read as long as enough bytes arrive.
+void store_client::handleTimeout()
+{
+    const auto received = m_connection ? m_connection->receivedBytes() : m_countedBytes;
+    const bool progresses = received - std::exchange(m_countedBytes, received) >= minAnswerBytes;
+    if (!progresses || m_extensions++ >= maxAnswerExtensions)
+        return handleFailure("request timed out");
+    m_timeout.start(answerMargin);
+}
+
 void store_client::handleResponse(const protocol::http::message& answer)
 {
     m_timeout.stop();
--- a/src/platform/store_client.hpp
+++ b/src/platform/store_client.hpp
@@ -62,6 +62,7 @@
     void call(std::string target, state::duration timeout);
     void list();
     void watch();
+    void handleTimeout();
     void handleResponse(const protocol::http::message& answer);
     void reportAnswer();
     void handlePage(const store_answer& page);
@@ -105,6 +106,8 @@
     state::time_point m_answeredAt; ///< when the store last gave a usable answer
     state::time_point m_restartAllowedAt;
     std::uint64_t m_calls = 0;
+    std::uint64_t m_countedBytes = 0; ///< received on the connection when `m_timeout` was last started
+    int m_extensions = 0; ///< of the time for the current answer
 };
 
 } // namespace acaciaslip::platform
--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -2,6 +2,7 @@
 
 #include "transport/loop/loop_fixture.hpp"
 
+#include <csignal>
 #include <functional>
 #include <memory>
 
@@ -18,6 +19,7 @@
 protected:
     store_client_test()
     {
+        (void)std::signal(SIGPIPE, SIG_IGN); // as the program does: connections are closed while bytes are written
         m_server.onReceived = [this](transport::loop::test_connection& end) { answer(end); };
     }
     ~store_client_test() override
@@ -114,6 +116,35 @@
     EXPECT_TRUE(runUntil([this] { return m_lost == 1; }, 2s));
 }
 
+/// Guards against a large value that never arrives over a thin link, because each read of it is given up while its
+/// bytes still come (tmirs-gw-grown, inc1: the watcher with a link of 10 Mbit/s counted the store as lost).
+TEST_F(store_client_test, LargeAnswers_ArriveSlowly_AreReadToTheirEnd)
+{
+    m_fragmentBytes = 20000;
+    m_fragmentInterval = 100ms;
+    const std::string filler(300000, 'x');
+    m_listAnswer = [&] { return fmt::format(R"({{"as-of":7,"items":[],"has-more":false,"filler":"{}"}})", filler); };
+    m_watchAnswer = [&, answers = 0]() mutable {
+        return ++answers > 1 ? std::string() : fmt::format(R"({{"as-of":8,"events":[],"filler":"{}"}})", filler);
+    };
+    m_client->start();
+    EXPECT_TRUE(runUntil([this] { return m_published == 2; }, 10s));
+    EXPECT_EQ(countRequests("kv-range"), 2U);
+    EXPECT_EQ(countRequests("kv-watch"), 1U);
+    EXPECT_EQ(m_lost, 0);
+}
+
+/// Too few bytes at a time must count as no answer, or a store in trouble could hold a watcher for minutes.
+TEST_F(store_client_test, LargeAnswer_ArrivesInDrips_TimesOut)
+{
+    m_fragmentBytes = 100;
+    m_fragmentInterval = 10ms;
+    const std::string filler(300000, 'x');
+    m_listAnswer = [&] { return fmt::format(R"({{"as-of":7,"items":[],"has-more":false,"filler":"{}"}})", filler); };
+    m_client->start();
+    EXPECT_TRUE(runUntil([this] { return m_lost == 1; }, 2s));
+}
+
 /// An answer may be lost without an error on the connection, so the client must not wait for it longer than a change
 /// may take. The second watch is not answered; the third one is, at once, as the store has the change.
 TEST_F(store_client_test, Watch_AnswerLost_ChangeIsReadWithinMaxSilence)
