Accept a server's refusal only with the request's id, and once on a connection

Reported by operators of a similar system: a faulty server wrote an earlier refusal once more on a kept-alive connection, and callers were told 'not run' for requests that ran. It could happen here in two ways. A refusal without a request id (503 with the header for it, or 421) was taken for the answer to whatever request was in flight; and a copy of a refusal was taken for the answer to a later attempt of the same request on the same connection, since both carry its id.

A refusal without the id is now skipped like an answer to another request, and a request that was refused on a connection is not sent on it again; a connection with more than eight refusals is closed.

--- a/src/protocol/server_http_messages.cpp
+++ b/src/protocol/server_http_messages.cpp
@@ -38,6 +38,12 @@
     return { limit_statement::named, perSecond };
 }
 
+/// Whether a server says that it has not run the request.
+bool isRefusal(const server_http_format& format, const http::message& answer)
+{
+    return findHeader(answer, format.names.notExecuted) || answer.status == statusMisdirected;
+}
+
 template <typename Names> bool isListed(const Names& names, std::string_view name)
 {
     return std::any_of(
@@ -59,7 +65,7 @@
 bool isRequestAnswer(const server_http_format& format, const http::message& answer, std::string_view id)
 {
     const auto echoed = findHeader(answer, format.names.requestId);
-    return !echoed || *echoed == id;
+    return echoed ? *echoed == id : !isRefusal(format, answer);
 }
 
 bool isProbeAnswer(const server_http_format& format, const http::message& answer)
@@ -92,7 +98,7 @@
     const bool success = answer.status >= statusOk && answer.status < firstNonSuccessStatus;
     const bool isSigned = findHeader(answer, format.names.signature).has_value();
     const bool hasId = findHeader(answer, format.names.requestId).has_value();
-    if (findHeader(answer, format.names.notExecuted) || answer.status == statusMisdirected)
+    if (hasId && isRefusal(format, answer))
         finished.outcome = state::attempt_outcome::shed;
     else if (!hasId || findHeader(answer, "Content-Encoding")
         || (success && format.requireSignatureOnSuccess && !isSigned))
--- a/src/transport/loop/server_connections.cpp
+++ b/src/transport/loop/server_connections.cpp
@@ -13,6 +13,7 @@
 constexpr std::uint64_t maxProbeAnswerBytes = 65536; ///< the answer's headers contain all that is used
 /// An idle connection is no longer reused once less than this time is left before the server closes it.
 constexpr state::duration idleCloseMargin = std::chrono::milliseconds { 800 };
+constexpr std::size_t maxRefusedIds = 8; ///< a connection with more refusals is not reused
 constexpr state::duration probeRetryTimeout = std::chrono::milliseconds { 200 }; ///< for a probe that is sent again
 /// Time for which an idle connection is reused if the server does not announce its keep-alive timeout.
 constexpr state::duration defaultIdleLifetime = std::chrono::seconds { 5 };
@@ -28,6 +29,8 @@
     std::optional<state::attempt_id> attempt;
     state::host_id server; ///< server expected at the address
     std::string requestId; ///< that the answer must carry
+    /// Requests that were refused here. A copy of the refusal may still come, and must not be taken for a later answer.
+    std::vector<std::string> refusedIds;
     std::string probeRequest;
     bool reused = false; ///< has carried an exchange before; the server may have closed it since
     std::unique_ptr<timer> probeTimer; ///< probe timeout
@@ -43,22 +46,37 @@
 }
 
 server_connections::connection_pointer server_connections::acquireConnection(
-    const std::string& address, std::size_t limit)
+    const std::string& address, std::size_t limit, std::string_view requestId)
+{
+    if (const auto idle = takeIdleConnection(address, requestId))
+        return idle;
+    const auto open = m_open.find(address);
+    return open == m_open.end() || open->second < limit ? openConnection(address) : nullptr;
+}
+
+/// Returns the connection used last that may carry a request, and closes those that are too old.
+server_connections::connection_pointer server_connections::takeIdleConnection(
+    const std::string& address, std::string_view requestId)
 {
     const auto now = bootNow();
-    for (auto idle = m_idle.find(address); idle != m_idle.end(); idle = m_idle.find(address)) {
-        auto connection = idle->second.back();
-        if (now < connection->usableUntil) {
-            connection->reused = true;
-            idle->second.pop_back();
-            if (idle->second.empty())
-                m_idle.erase(idle);
-            return connection;
+    const auto found = m_idle.find(address);
+    const auto candidates = found == m_idle.end() ? std::vector<connection_pointer> {} : found->second;
+    for (auto connection = candidates.rbegin(); connection != candidates.rend(); ++connection) {
+        if (now >= (*connection)->usableUntil) {
+            closeConnection(*connection);
+            continue;
         }
-        closeConnection(connection);
+        const auto& refused = (*connection)->refusedIds;
+        if (std::find(refused.begin(), refused.end(), requestId) != refused.end())
+            continue;
+        auto& idle = m_idle.at(address);
+        std::erase(idle, *connection);
+        if (idle.empty())
+            m_idle.erase(address);
+        (*connection)->reused = true;
+        return *connection;
     }
-    const auto open = m_open.find(address);
-    return open == m_open.end() || open->second < limit ? openConnection(address) : nullptr;
+    return nullptr;
 }
 
 std::unique_ptr<timer> server_connections::makeProbeTimer(const connection_pointer& connection)
@@ -135,7 +153,7 @@
 
 void server_connections::probe(const coordination::gateway::probe_server& wanted)
 {
-    const auto connection = acquireConnection(wanted.address, wanted.connectionLimit);
+    const auto connection = acquireConnection(wanted.address, wanted.connectionLimit, {});
     if (!connection) {
         coordination::gateway::probe_finished finished;
         finished.id = wanted.id;
@@ -172,7 +190,9 @@
 void server_connections::send(const coordination::gateway::send_request& wanted)
 {
     const auto* request = m_requests(wanted.request);
-    const auto connection = request != nullptr ? acquireConnection(wanted.address, SIZE_MAX) : nullptr;
+    const auto requestId
+        = request != nullptr ? protocol::http::findHeader(*request, m_format.names.requestId).value_or("") : "";
+    const auto connection = request != nullptr ? acquireConnection(wanted.address, SIZE_MAX, requestId) : nullptr;
     if (!connection) {
         coordination::gateway::attempt_finished finished;
         finished.id = wanted.id;
@@ -181,7 +201,7 @@
     }
     connection->attempt = wanted.id;
     connection->server = wanted.server;
-    connection->requestId = protocol::http::findHeader(*request, m_format.names.requestId).value_or("");
+    connection->requestId = requestId;
     m_attempts[static_cast<std::uint64_t>(wanted.id)] = connection;
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(wanted.timeRemaining).count();
     connection->http->send(
@@ -251,7 +271,9 @@
     const auto id = *connection->attempt;
     finished.id = id;
     m_attempts.erase(static_cast<std::uint64_t>(id));
-    if (finished.outcome == state::attempt_outcome::mismatched)
+    if (finished.outcome == state::attempt_outcome::shed)
+        connection->refusedIds.push_back(connection->requestId);
+    if (finished.outcome == state::attempt_outcome::mismatched || connection->refusedIds.size() > maxRefusedIds)
         closeConnection(connection);
     else
         returnToPool(connection);
--- a/src/transport/loop/server_connections.hpp
+++ b/src/transport/loop/server_connections.hpp
@@ -49,7 +49,9 @@
     struct pooled_connection;
     using connection_pointer = std::shared_ptr<pooled_connection>;
 
-    connection_pointer acquireConnection(const std::string& address, std::size_t limit);
+    /// \param requestId of the request that it is for; empty for a probe
+    connection_pointer acquireConnection(const std::string& address, std::size_t limit, std::string_view requestId);
+    connection_pointer takeIdleConnection(const std::string& address, std::string_view requestId);
     connection_pointer openConnection(const std::string& address);
     std::unique_ptr<timer> makeProbeTimer(const connection_pointer& connection);
     bool retryProbe(const connection_pointer& failed);
