Do not start requests that would outlast a planned stop

Reported by operators of a similar system: requests taken late in the grace period were passed on, and cut when the process was killed. Here new requests are refused after half of the grace period, but one that takes longer than the rest of it, or that waits for a server until late, was still passed on. A request is now refused as not run if twice its service's usual time, or at its send the expected time, does not end before the kill.

--- a/src/coordination/gateway/node.hpp
+++ b/src/coordination/gateway/node.hpp
@@ -154,6 +154,7 @@
     fleet_serving serving;
     node_phase phase = node_phase::starting;
     state::time_point phaseSince;
+    std::optional<state::time_point> killedAt; ///< end of the grace period of a shutdown
 
     state::gateway::published_fleet published;
     /// Configuration in use; null until the first one is read.
--- a/src/coordination/gateway/request_flow.cpp
+++ b/src/coordination/gateway/request_flow.cpp
@@ -10,6 +10,7 @@
 #include "coordination/gateway/server_health.hpp"
 #include "coordination/gateway/server_limit.hpp"
 #include "coordination/gateway/server_load.hpp"
+#include "coordination/gateway/shutdown.hpp"
 
 #include <algorithm>
 
@@ -23,6 +24,8 @@
 using state::gateway::send_reason;
 
 constexpr int firstServerError = 500;
+/// Most requests take less than this multiple of their service's typical time.
+constexpr int likelyServiceTimes = 2;
 constexpr double serviceTimeWeight = 0.1; ///< weight of one response in a service's typical service time
 
 pending_request makeRequest(
@@ -175,6 +178,9 @@
     auto& request = self.requests[static_cast<std::uint64_t>(arrived.id)] = makeRequest(self, arrived, *route, now);
     recordRequest(self.services[request.service].retryBudget, self.settings.limits, now);
     schedule(self, request);
+    const auto typical = typicalServiceTime(self, request.service, route->objective);
+    if (!endsBeforeKill(self, typical * likelyServiceTimes, now))
+        return endWithRefusal(self, request, state::refusal_reason::leaving, now, random, effects);
     startProbeRound(self, request, send_reason::first_send, now, random, effects);
 }
 
--- a/src/coordination/gateway/sending.cpp
+++ b/src/coordination/gateway/sending.cpp
@@ -5,6 +5,7 @@
 #include "coordination/gateway/request_log.hpp"
 #include "coordination/gateway/retry_after.hpp"
 #include "coordination/gateway/server_load.hpp"
+#include "coordination/gateway/shutdown.hpp"
 
 #include <algorithm>
 
@@ -62,6 +63,12 @@
             return schedule(self, request);
         return endWithRefusal(self, request, state::refusal_reason::overloaded, now, random, effects);
     }
+    if (!endsBeforeKill(self, estimate.time, now)) {
+        if (reason == send_reason::hedge)
+            return schedule(self, request);
+        const auto why = request.mayHaveRun ? state::refusal_reason::broken_answer : state::refusal_reason::leaving;
+        return endWithRefusal(self, request, why, now, random, effects);
+    }
     if (request.sends > 0) {
         recordRetry(self.services[request.service].retryBudget, self.settings.limits, now);
         ++(reason == send_reason::hedge ? self.counters.hedges : self.counters.retries);
--- a/src/coordination/gateway/shutdown.cpp
+++ b/src/coordination/gateway/shutdown.cpp
@@ -9,6 +9,7 @@
 /// The platform's load balancer checks once per second and sends no new connections after two failed checks. The
 /// remaining time covers connections that are already being opened.
 constexpr state::duration leavingDuration = std::chrono::milliseconds { 2700 };
+constexpr state::duration killMargin = std::chrono::milliseconds { 300 }; ///< for the answer to reach the caller
 constexpr double maxLeavingShare = 0.5; ///< share of the time until SIGKILL; applies when that time is short
 
 void enterPhase(gateway_node& self, node_phase phase, state::time_point now, effect_list& effects)
@@ -30,8 +31,15 @@
 
 void beginShutdown(gateway_node& self, state::time_point now, effect_list& effects)
 {
-    if (self.phase < node_phase::leaving)
-        enterPhase(self, node_phase::leaving, now, effects);
+    if (self.phase >= node_phase::leaving)
+        return;
+    self.killedAt = now + self.settings.limits.shutdownGrace;
+    enterPhase(self, node_phase::leaving, now, effects);
+}
+
+bool endsBeforeKill(const gateway_node& self, state::duration expected, state::time_point now) noexcept
+{
+    return !self.killedAt || now + expected + killMargin <= *self.killedAt;
 }
 
 void advanceShutdown(gateway_node& self, state::time_point now, effect_list& effects)
--- a/src/coordination/gateway/shutdown.hpp
+++ b/src/coordination/gateway/shutdown.hpp
@@ -11,6 +11,10 @@
 /// Performs the next step of a graceful shutdown when it is due.
 void advanceShutdown(gateway_node& self, state::time_point now, effect_list& effects);
 
+/// Whether a request that starts now and takes a time ends before the process is killed. Always true without a
+/// shutdown.
+[[nodiscard]] bool endsBeforeKill(const gateway_node& self, state::duration expected, state::time_point now) noexcept;
+
 /// When the next step of the shutdown is due.
 [[nodiscard]] std::optional<state::time_point> nextShutdownStep(const gateway_node& self) noexcept;
 
--- a/tests/coordination/gateway/planned_stop_test.cpp
+++ b/tests/coordination/gateway/planned_stop_test.cpp
@@ -48,6 +48,46 @@
     EXPECT_EQ(takeEffects<node_stopped>().size(), 1U);
 }
 
+/// Guards against requests that come late in the grace period, are passed on, and are cut when the process is killed.
+TEST_F(planned_stop_test, Stop_RequestWouldOutlastGracePeriod_IsRefusedAsNotRun)
+{
+    m_route.objective = 12s;
+    m_route.timeout = 20s;
+    publishServers(3);
+    m_node.services["a"].typicalServiceTime = 2s;
+    handleEvent(stop_requested {});
+    advanceTime(1s);
+    startRequest("/a/x", 20s);
+    answerProbes();
+    EXPECT_EQ(takeEffects<send_request>().size(), 1U) << "it ends in time";
+    advanceTime(1s);
+    startRequest("/a/x", 20s);
+    const auto refusal = takeEffect<refuse_caller>();
+    EXPECT_EQ(refusal.reason, state::refusal_reason::leaving);
+    EXPECT_EQ(refusal.outcome, state::verdict::not_run);
+}
+
+/// A request may have come in time and still wait for a server that is good enough.
+TEST_F(planned_stop_test, Stop_RequestWaitsUntilLateInGracePeriod_IsNotSent)
+{
+    m_route.objective = 12s;
+    m_route.timeout = 20s;
+    publishServers(3);
+    m_node.services["a"].typicalServiceTime = 1s;
+    handleEvent(stop_requested {});
+    startRequest("/a/x", 20s);
+    for (int step = 0; step < 55; ++step) {
+        for (const auto& probe : takeEffects<probe_server>())
+            answerProbe(probe, fullReport(40));
+        advanceTime(100ms);
+        EXPECT_TRUE(takeEffects<send_request>().empty()) << step;
+    }
+    answerProbes();
+    advanceTime(300ms);
+    EXPECT_TRUE(takeEffects<send_request>().empty());
+    EXPECT_EQ(takeEffect<refuse_caller>().outcome, state::verdict::not_run);
+}
+
 TEST_F(planned_stop_test, Stop_NodeIdle_EndsWithinHalfTheGracePeriod)
 {
     publishServers(3);
