Restore the store, publish large configurations and repeat refusals in the soak

The soak's store now keeps copies and returns to them in a new era, after which the operator and the servers write again what was lost; configurations grow by up to 1,400 routes at a time; servers may write a refusal once more. The servers echo the request's id in refusals, as the platform's do.

--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -29,6 +29,9 @@
 constexpr state::duration requestInterval = 8ms;
 constexpr state::duration faultInterval = 350ms;
 constexpr state::duration settling = 4s; ///< time allowed for recovery after the last fault
+constexpr std::size_t largestChange = 1400; ///< routes that one configuration adds
+constexpr std::size_t maxFurtherRoutes = 2800;
+constexpr state::duration rewriteDelay = 200ms; ///< from a restoration until the lost items are written again
 constexpr int callerPort = 18641;
 constexpr int statusNotFound = 404;
 constexpr double minServedShare = 0.9; ///< of the requests sent in the two seconds after recovery
@@ -76,6 +79,7 @@
     bool run()
     {
         publish();
+        m_store->keepCopy();
         startHosts();
         runFor(markServersWarm);
         m_requestTimer = std::make_unique<timer>(&m_loop, [this] { sendRequest(); });
@@ -113,6 +117,10 @@
     void putServer(std::size_t index, const std::string& state)
     {
         const auto& server = *m_servers[index];
+        if (state == "draining")
+            m_drainingServers.insert(index);
+        else
+            m_drainingServers.erase(index);
         m_store->put("servers/" + server.id(),
             fmt::format(R"({{"address":"{}","info":{{"service":"{}","version":"v1","zone":"{}","max-concurrency":4}},)"
                         R"("status":{{"state":"{}","seq-no":1,"cold-left":"0ms"}},"born":1}})",
@@ -120,9 +128,11 @@
     }
 
     /// Publishes a new version. Only the newest one has a route for its own host name.
-    void putConfiguration()
+    /// \param routesAdded routes that this version and all later ones have in addition
+    void putConfiguration(std::size_t routesAdded = 0)
     {
         ++m_version;
+        m_furtherRoutes = std::min(m_furtherRoutes + routesAdded, maxFurtherRoutes);
         const auto rule = [](const std::string& host, const char* service, const char* kind) {
             return fmt::format(
                 R"({{"host":"{0}.example","rules":[{{"name":"{0}","kind":"{1}","latency-slo":"300ms","priority":1,)"
@@ -134,12 +144,28 @@
                                R"("cold-start":"1s","cold-per-s":3}})",
                 service);
         };
-        m_store->put("op/config",
-            fmt::format(R"({{"version":"{:08x}","limits":{{"max-header-bytes":16384,"max-body-bytes":1000000,)"
-                        R"("header-timeout":"3s","idle-timeout":"15s"}},"listeners":[{},{},{}],"clusters":[{},{}]}})",
-                m_version, rule(services[0], services[0], "idempotent"),
-                rule(services[1], services[1], "non_idempotent"), rule(newestHostName(), services[0], "idempotent"),
-                cluster(services[0]), cluster(services[1])));
+        std::string further;
+        for (std::size_t index = 0; index < m_furtherRoutes; ++index)
+            further += "," + rule(fmt::format("further{}", index), services[0], "idempotent");
+        m_configuration = fmt::format(
+            R"({{"version":"{:08x}","limits":{{"max-header-bytes":16384,"max-body-bytes":1000000,)"
+            R"("header-timeout":"3s","idle-timeout":"15s"}},"listeners":[{},{},{}{}],"clusters":[{},{}]}})",
+            m_version, rule(services[0], services[0], "idempotent"), rule(services[1], services[1], "non_idempotent"),
+            rule(newestHostName(), services[0], "idempotent"), further, cluster(services[0]), cluster(services[1]));
+        m_store->put("op/config", m_configuration);
+    }
+
+    /// Restores the store from its copy. The operator and the servers write again what they wrote since a moment later.
+    void restoreStore()
+    {
+        m_store->restore();
+        m_rewriteTimer = std::make_unique<timer>(&m_loop, [this] {
+            m_store->put("op/config", m_configuration);
+            for (std::size_t index = 0; index < m_servers.size(); ++index)
+                putServer(index, m_drainingServers.contains(index) ? "draining" : "ready");
+            m_store->keepCopy();
+        });
+        m_rewriteTimer->start(rewriteDelay);
     }
 
     [[nodiscard]] std::string newestHostName() const { return fmt::format("version{}", m_version); }
@@ -230,10 +256,10 @@
         const auto server = m_random() % m_servers.size();
         constexpr std::array<proxy_fault, 5> kinds { proxy_fault::none, proxy_fault::delay, proxy_fault::reset,
             proxy_fault::blackhole, proxy_fault::drop_responses };
-        constexpr std::array<server_fault, 7> serverFaults { server_fault::none, server_fault::none,
-            server_fault::sheds, server_fault::malformed, server_fault::unfinished, server_fault::duplicate,
-            server_fault::late };
-        switch (m_random() % 12) {
+        constexpr std::array<server_fault, 8> serverFaults { server_fault::repeats_refusal, server_fault::none,
+            server_fault::none, server_fault::sheds, server_fault::malformed, server_fault::unfinished,
+            server_fault::duplicate, server_fault::late };
+        switch (m_random() % 15) {
         case 0:
             ++m_counts.faults["kill"];
             signalHost(host, SIGKILL);
@@ -268,6 +294,18 @@
             ++m_counts.faults["reload"];
             signalHost(host, SIGHUP);
             break;
+        case 11:
+            ++m_counts.faults["restore"];
+            restoreStore();
+            break;
+        case 12:
+            ++m_counts.faults["copy"];
+            m_store->keepCopy();
+            break;
+        case 13:
+            ++m_counts.faults["large"];
+            putConfiguration(m_random() % largestChange);
+            break;
         case 9:
             ++m_counts.faults["store_json"];
             m_store->setMalformed(m_random() % 2 == 0);
@@ -419,6 +457,7 @@
     {
         m_finished = true;
         m_restartTimer.reset();
+        m_rewriteTimer.reset();
         for (auto& host : m_hosts)
             signalHost(host, SIGKILL);
         runFor(200ms);
@@ -466,7 +505,11 @@
     std::unique_ptr<timer> m_requestTimer;
     std::unique_ptr<timer> m_faultTimer;
     std::unique_ptr<timer> m_restartTimer;
+    std::unique_ptr<timer> m_rewriteTimer;
     std::uint32_t m_version = 0;
+    std::size_t m_furtherRoutes = 0;
+    std::string m_configuration; ///< the newest one
+    std::set<std::size_t> m_drainingServers; ///< by index
     std::uint32_t m_sent = 0;
     bool m_recovered = false; ///< all faults have ended and the recovery time has passed, so requests must be served
     bool m_finished = false;
--- a/soak/platform_standin.cpp
+++ b/soak/platform_standin.cpp
@@ -80,14 +80,13 @@
 void store_standin::handle(const message& request, const http_standin::reply& reply)
 {
     if (m_malformed)
-        return reply(protocol::http::writeAnswer(
-            200, "application/json", R"({"as-of":"x","has-more":1,"items":{},"events":[[[]]]})", true));
+        return reply(writeJson(200, R"({"as-of":"x","has-more":1,"items":{},"events":[[[]]]})"));
     const auto prefix = protocol::http::findParameter(request.target, "path-prefix").value_or("");
     if (protocol::http::extractPath(request.target) == "/kv-range")
-        return reply(protocol::http::writeAnswer(200, "application/json", listItems(prefix), true));
+        return reply(writeJson(200, listItems(prefix)));
     const auto after = parseUnsigned(request, "after");
-    if (after < m_revision)
-        return reply(protocol::http::writeAnswer(200, "application/json", listEvents(after), true));
+    if (after != m_revision)
+        return answerWatch(after, reply);
     auto limit = std::make_unique<timer>(m_loop, [this] { answerWatches(); });
     limit->start(std::chrono::milliseconds { parseUnsigned(request, "wait-ms") });
     m_watches.push_back({ after, reply, std::move(limit) });
@@ -97,7 +96,27 @@
 void store_standin::answerWatches()
 {
     for (const auto& watch : std::exchange(m_watches, {}))
-        watch.reply(protocol::http::writeAnswer(200, "application/json", listEvents(watch.after), true));
+        answerWatch(watch.after, watch.reply);
+}
+
+void store_standin::answerWatch(std::uint64_t after, const http_standin::reply& reply) const
+{
+    constexpr int gone = 410;
+    reply(after > m_revision ? writeJson(gone, "{}") : writeJson(200, listEvents(after)));
+}
+
+std::string store_standin::writeJson(int status, const std::string& body) const
+{
+    return fmt::format(
+        "HTTP/1.1 {} X\r\nStore-Era: {}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{}", status,
+        m_era, body.size(), body);
+}
+
+void store_standin::restore()
+{
+    std::tie(m_items, m_revision) = m_copy;
+    ++m_era;
+    answerWatches();
 }
 
 std::string store_standin::listItems(std::string_view prefix) const
@@ -162,6 +181,8 @@
         return head(200, id, 2 * unfinishedBytes) + "\r\n" + std::string(unfinishedBytes, 'x');
     case server_fault::duplicate:
         return answer + answer;
+    case server_fault::repeats_refusal: // of an earlier request, before the answer
+        return head(503, {}, 0) + "X-Acaciaslip-Not-Executed: 1\r\n\r\n" + answer;
     default:
         return answer;
     }
@@ -173,9 +194,12 @@
         return reply(head(200, {}, 0) + "\r\n");
     const std::string id(protocol::http::findHeader(request, "X-Acaciaslip-Request-Id").value_or(""));
     if (protocol::http::findHeader(request, "X-Acaciaslip-Expect-Instance") != std::string_view(m_id))
-        return reply(head(421, {}, 0) + "\r\n");
-    if (m_fault == server_fault::sheds || m_running >= slots)
-        return reply(head(503, {}, 0) + "X-Acaciaslip-Not-Executed: 1\r\n\r\n");
+        return reply(head(421, id, 0) + "\r\n");
+    if (m_fault == server_fault::sheds || m_running >= slots) {
+        const auto refusal
+            = [this](const std::string& to) { return head(503, to, 0) + "X-Acaciaslip-Not-Executed: 1\r\n\r\n"; };
+        return reply(refusal(id) + (m_fault == server_fault::repeats_refusal ? refusal({}) : ""));
+    }
     m_checker.recordRun(id, m_service);
     ++m_running;
     ++m_runs;
--- a/soak/platform_standin.hpp
+++ b/soak/platform_standin.hpp
@@ -46,6 +46,12 @@
     /// Writes an item and answers the pending watches. Without a value, the item is removed.
     void put(const std::string& key, const std::optional<std::string>& value);
 
+    /// Keeps a copy of all items for `restore`.
+    void keepCopy() { m_copy = { m_items, m_revision }; }
+
+    /// Returns to the copy kept last, in a new era. Watches from later revisions are answered with 410.
+    void restore();
+
     /// Sets whether the store answers with JSON that is not an answer of a store.
     void setMalformed(bool malformed) { m_malformed = malformed; }
 
@@ -66,10 +72,14 @@
     [[nodiscard]] std::string listItems(std::string_view prefix) const;
     [[nodiscard]] std::string listEvents(std::uint64_t after) const;
     void answerWatches();
+    void answerWatch(std::uint64_t after, const http_standin::reply& reply) const;
+    [[nodiscard]] std::string writeJson(int status, const std::string& body) const;
 
     uv_loop_t* m_loop;
     std::map<std::string, item> m_items;
     std::uint64_t m_revision = 1;
+    std::uint64_t m_era = 1;
+    std::pair<std::map<std::string, item>, std::uint64_t> m_copy { {}, 1 }; ///< items and revision
     bool m_malformed = false;
     std::vector<waiting_watch> m_watches;
     http_standin m_http;
@@ -82,6 +92,7 @@
     malformed, ///< it executes them and answers with bytes that are no answer
     unfinished, ///< it executes them and answers with a body that does not end
     duplicate, ///< it answers twice
+    repeats_refusal, ///< it refuses each one that it has no slot for twice, the second time without the request's id
     late, ///< it answers after the callers' timeout
 };
 
