--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -163,7 +163,6 @@
             m_store->put("op/config", m_configuration);
             for (std::size_t index = 0; index < m_servers.size(); ++index)
                 putServer(index, m_drainingServers.contains(index) ? "draining" : "ready");
-            m_store->keepCopy();
         });
         m_rewriteTimer->start(rewriteDelay);
     }
@@ -259,7 +258,7 @@
         constexpr std::array<server_fault, 8> serverFaults { server_fault::repeats_refusal, server_fault::none,
             server_fault::none, server_fault::sheds, server_fault::malformed, server_fault::unfinished,
             server_fault::duplicate, server_fault::late };
-        switch (m_random() % 15) {
+        switch (m_random() % 14) {
         case 0:
             ++m_counts.faults["kill"];
             signalHost(host, SIGKILL);
@@ -299,10 +298,6 @@
             restoreStore();
             break;
         case 12:
-            ++m_counts.faults["copy"];
-            m_store->keepCopy();
-            break;
-        case 13:
             ++m_counts.faults["large"];
             putConfiguration(m_random() % largestChange);
             break;
