--- a/src/coordination/gateway/node.hpp
+++ b/src/coordination/gateway/node.hpp
@@ -122,7 +122,7 @@
     state::time_point steppedAt; ///< latest `processServing`
 };
 
-/// What is held against a store that has been restored from a copy; see `store_restoration.hpp`.
+/// What was known before the store was restored from a copy, and holds for a while; see `store_restoration.hpp`.
 struct store_restoration {
     struct departure {
         std::int64_t startedAtUnixMs = 0;
--- a/src/protocol/server_http_messages.hpp
+++ b/src/protocol/server_http_messages.hpp
@@ -33,7 +33,8 @@
     std::function<std::optional<state::gateway::load_report>(std::string_view)> parseLoad;
 };
 
-/// Whether a response belongs to the pending request: late responses to earlier requests have another id.
+/// Whether a response belongs to the pending request: late responses to earlier requests have another id. A refusal as
+/// not executed must carry the id, since a copy of an earlier one would otherwise prove too much.
 [[nodiscard]] bool isRequestAnswer(const server_http_format& format, const http::message& answer, std::string_view id);
 
 /// Whether a response belongs to a load probe: probes have no request id.
