--- a/src/protocol/gateway_peer_codec.cpp
+++ b/src/protocol/gateway_peer_codec.cpp
@@ -126,6 +126,7 @@
 std::vector<fleet::service> fromWire(const std::vector<wire::service_description>& wireStructs)
 {
     std::vector<fleet::service> services;
+    services.reserve(wireStructs.size());
     for (const auto& service : wireStructs)
         services.push_back({ service.name, service.healthPath, checked<std::uint32_t>(service.maxConnections),
             toDuration(service.coldStart), service.coldRequestsPerSecond });
--- a/src/state/gateway/published_fleet.hpp
+++ b/src/state/gateway/published_fleet.hpp
@@ -45,7 +45,7 @@
     std::string host;
     std::string pathPrefix;
 
-    [[nodiscard]] auto operator<=>(const route_key&) const = default;
+    [[nodiscard]] auto operator<=>(const route_key&) const = default; // NOLINT(modernize-use-nullptr): false positive
 };
 
 /// The revisions at which the parts of a configuration have last changed, or later ones.
--- a/src/transport/loop/server_connections.cpp
+++ b/src/transport/loop/server_connections.cpp
@@ -48,7 +48,7 @@
 server_connections::connection_pointer server_connections::acquireConnection(
     const std::string& address, std::size_t limit, std::string_view requestId)
 {
-    if (const auto idle = takeIdleConnection(address, requestId))
+    if (auto idle = takeIdleConnection(address, requestId))
         return idle;
     const auto open = m_open.find(address);
     return open == m_open.end() || open->second < limit ? openConnection(address) : nullptr;
--- a/tests/coordination/gateway/configuration_merge_test.cpp
+++ b/tests/coordination/gateway/configuration_merge_test.cpp
@@ -135,6 +135,7 @@
                     routes[path] = makeRoute(path, 1 + random(3));
             }
             std::vector<state::gateway::route> published;
+            published.reserve(routes.size());
             for (const auto& [path, route] : routes)
                 published.push_back(route);
             publish(published);
