--- a/src/coordination/gateway/configuration_merge.hpp
+++ b/src/coordination/gateway/configuration_merge.hpp
@@ -17,7 +17,7 @@
     state::gateway::published_configuration& known, const state::gateway::published_configuration& read);
 
 /// Applies changes.
-/// \return false if they are not newer, or do not lead to the configuration that the sender has
+/// \return false if they are not newer, or the result differs from the sender's configuration
 bool mergeConfigurationChanges(
     state::gateway::published_configuration& known, const state::gateway::configuration_changes& changes);
 
--- a/src/coordination/gateway/fleet_relay.cpp
+++ b/src/coordination/gateway/fleet_relay.cpp
@@ -16,7 +16,7 @@
 constexpr state::duration fetchPatience = std::chrono::milliseconds { 800 };
 /// Delay of the next fetch after one that a peer refused, or that left this host behind another peer.
 constexpr state::duration nextFetchDelay = std::chrono::milliseconds { 100 };
-constexpr std::uint32_t maxRedirections = 12; ///< of one fetch; each halves the number of hosts that wait
+constexpr std::uint32_t maxRedirections = 12; ///< of one fetch, so that hosts cannot redirect it forever
 constexpr std::uint64_t loggedFetchBytes = 16384;
 constexpr state::duration loggedFetchTime = std::chrono::milliseconds { 100 };
 
--- a/src/coordination/gateway/node.hpp
+++ b/src/coordination/gateway/node.hpp
@@ -128,10 +128,10 @@
         std::int64_t startedAtUnixMs = 0;
         state::time_point at;
     };
-    std::optional<state::time_point> endsAt; ///< set while the copy is not trusted
+    std::optional<state::time_point> endsAt; ///< end of the time in which stale items of the copy are ignored
     state::revision copyAsOf = 0; ///< first revision known in the new era
     std::set<state::data_centre_id> evacuated; ///< when the store was restored
-    std::map<state::host_id, departure> departures; ///< servers that have left lately
+    std::map<state::host_id, departure> departures; ///< recently unregistered servers, by id
 };
 
 /// Until the number of hosts is known, budgets are divided by the size of a large fleet.
@@ -154,7 +154,7 @@
     fleet_serving serving;
     node_phase phase = node_phase::starting;
     state::time_point phaseSince;
-    std::optional<state::time_point> killedAt; ///< end of the grace period of a shutdown
+    std::optional<state::time_point> killedAt; ///< when the platform sends SIGKILL; set by a shutdown
 
     state::gateway::published_fleet published;
     /// Configuration in use; null until the first one is read.
--- a/src/transport/loop/http_fetcher.cpp
+++ b/src/transport/loop/http_fetcher.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr int maxExtensions = 3; ///< of an answer timeout; bounds the memory that an endless answer takes
+constexpr int maxExtensions = 3; ///< of an answer timeout; limits the size of an endless answer
 
 } // namespace
 
--- a/src/transport/loop/peer_transport.hpp
+++ b/src/transport/loop/peer_transport.hpp
@@ -14,7 +14,7 @@
 
 /// Path on the operators' port from which other hosts fetch the published fleet.
 inline constexpr std::string_view fleetPath = "/fleet";
-inline constexpr int statusRedirect = 307; ///< the answer's body is the address of the host to fetch from instead
+inline constexpr int statusRedirect = 307; ///< the body is the IP address of the host to fetch from instead
 
 /// Exchange with other entry hosts: heartbeats over UDP, and the published fleet over HTTP.
 class peer_transport {
--- a/src/transport/loop/server_connections.cpp
+++ b/src/transport/loop/server_connections.cpp
@@ -13,7 +13,7 @@
 constexpr std::uint64_t maxProbeAnswerBytes = 65536; ///< the answer's headers contain all that is used
 /// An idle connection is no longer reused once less than this time is left before the server closes it.
 constexpr state::duration idleCloseMargin = std::chrono::milliseconds { 800 };
-constexpr std::size_t maxRefusedIds = 8; ///< a connection with more refusals is not reused
+constexpr std::size_t maxRefusedIds = 8; ///< per connection; it is closed after more refusals
 constexpr state::duration probeRetryTimeout = std::chrono::milliseconds { 200 }; ///< for a probe that is sent again
 /// Time for which an idle connection is reused if the server does not announce its keep-alive timeout.
 constexpr state::duration defaultIdleLifetime = std::chrono::seconds { 5 };
--- a/tests/coordination/gateway/large_configuration_test.cpp
+++ b/tests/coordination/gateway/large_configuration_test.cpp
@@ -57,8 +57,8 @@
     }
 }
 
-/// Guards against a change of a few routes that is sent with all routes of a large configuration: 312 hosts with 2,820
-/// routes received 203 KB each.
+/// Guards against a change of a few routes that is sent with all routes of a large configuration. The limit applies to
+/// the average over all hosts.
 TEST_P(large_configuration_test, Configuration_FewRoutesChange_FewBytesAreSentToEachHost)
 {
     constexpr double maxBytesPerHost = 17'000; // what control may cost a host in a second
