Read and log the Retry-After of servers

Nothing acts on it yet. The callers and servers of the limit tests move to serving_fleet, which further tests share; the checks are the same.

--- a/src/coordination/gateway/events.hpp
+++ b/src/coordination/gateway/events.hpp
@@ -55,6 +55,7 @@
     std::optional<state::gateway::load_report> report; ///< its time is set by the node
     state::duration coldRemaining {};
     state::gateway::limit_report limit;
+    state::gateway::back_off_report backOff;
 };
 
 /// An attempt to run a request on a server has finished.
@@ -64,6 +65,7 @@
     int status = 0; ///< HTTP status of the server's response; 0 without one
     std::optional<state::gateway::load_report> report; ///< its time is set by the node
     state::gateway::limit_report limit;
+    state::gateway::back_off_report backOff;
 };
 
 /// Source of an update of the published fleet.
--- a/src/coordination/gateway/node.hpp
+++ b/src/coordination/gateway/node.hpp
@@ -63,6 +63,8 @@
     std::uint64_t hedges = 0;
     std::uint64_t retriesDenied = 0; ///< retries and hedges denied by the retry budget
     std::uint64_t callersDisconnected = 0;
+    std::uint64_t backOffsNamed = 0; ///< times a server asked this host to send it nothing for a while
+    std::uint64_t backOffsUnreadable = 0; ///< likewise, with a time that is malformed or out of range
     std::uint64_t deltasApplied = 0;
     std::uint64_t storeLosses = 0;
     std::uint64_t storeRestorations = 0; ///< times the store was restored from a copy
--- a/src/coordination/gateway/probing.cpp
+++ b/src/coordination/gateway/probing.cpp
@@ -8,6 +8,7 @@
 #include "coordination/gateway/request_log.hpp"
 #include "coordination/gateway/retry_after.hpp"
 #include "coordination/gateway/sending.hpp"
+#include "coordination/gateway/server_back_off.hpp"
 #include "coordination/gateway/server_health.hpp"
 #include "coordination/gateway/server_limit.hpp"
 #include "coordination/gateway/server_load.hpp"
@@ -221,6 +222,7 @@
     if (finished.report)
         recordLoadReport(self, finished.server, *finished.report, now);
     recordProbeLimit(self, finished.server, finished.limit, now, effects);
+    recordBackOff(self, finished.server, finished.backOff, "probe", now, effects);
 }
 
 } // namespace
--- a/src/coordination/gateway/request_flow.cpp
+++ b/src/coordination/gateway/request_flow.cpp
@@ -7,6 +7,7 @@
 #include "coordination/gateway/retry_after.hpp"
 #include "coordination/gateway/route_lookup.hpp"
 #include "coordination/gateway/sending.hpp"
+#include "coordination/gateway/server_back_off.hpp"
 #include "coordination/gateway/server_health.hpp"
 #include "coordination/gateway/server_limit.hpp"
 #include "coordination/gateway/server_load.hpp"
@@ -205,6 +206,7 @@
     if (finished.report)
         recordLoadReport(self, server, *finished.report, now);
     recordAnswerLimit(self, server, finished, now, effects);
+    recordBackOff(self, server, finished.backOff, "answer", now, effects);
     auto& request = self.requests.at(static_cast<std::uint64_t>(requestId));
     auto& inFlight = request.attemptsInFlight;
     const auto position
--- a/src/coordination/gateway/server_limit.cpp
+++ b/src/coordination/gateway/server_limit.cpp
@@ -24,9 +24,9 @@
 constexpr state::duration endNoticeTime = std::chrono::seconds { 30 }; ///< in which gossip reaches every host
 constexpr std::size_t limitsPerHeartbeat = 8; ///< keeps it within one datagram
 
+using state::gateway::header_statement;
 using state::gateway::limit_notice;
 using state::gateway::limit_report;
-using state::gateway::limit_statement;
 using state::gateway::server_state;
 
 constexpr int statusMisdirected = 421; ///< the response comes from another server
@@ -56,9 +56,9 @@
 void recordNamedLimit(gateway_node& self, server_state& server, const limit_report& limit, std::string_view from,
     state::time_point now, effect_list& effects)
 {
-    if (limit.statement == limit_statement::named)
+    if (limit.statement == header_statement::named)
         setLimit(self, server, limit.perSecond, fleetTime(self, now), from, effects);
-    else if (limit.statement == limit_statement::unreadable)
+    else if (limit.statement == header_statement::unreadable)
         effects.emplace_back(describeLimit(self, server.entry.id, "unreadable", from));
 }
 
@@ -109,7 +109,7 @@
     const bool shed = finished.outcome == state::attempt_outcome::shed && finished.status != statusMisdirected;
     if (known == nullptr || (!answered && !shed))
         return;
-    if (finished.limit.statement != limit_statement::none)
+    if (finished.limit.statement != header_statement::none)
         return recordNamedLimit(self, *known, finished.limit, "answer", now, effects);
     if (answered && finished.status < firstServerError)
         setLimit(self, *known, std::nullopt, fleetTime(self, now), "answer", effects);
--- a/src/protocol/gateway_dump.cpp
+++ b/src/protocol/gateway_dump.cpp
@@ -1,5 +1,6 @@
 #include "protocol/gateway_dump.hpp"
 
+#include "coordination/gateway/server_back_off.hpp"
 #include "coordination/gateway/server_health.hpp"
 
 namespace acaciaslip::protocol {
@@ -25,6 +26,8 @@
         described["cold_for_ms"] = milliseconds(server.coldUntil - now);
     if (server.ejectedUntil && now < *server.ejectedUntil)
         described["avoided_for_ms"] = milliseconds(*server.ejectedUntil - now);
+    if (coordination::gateway::isBackingOff(server, now))
+        described["back_off_for_ms"] = milliseconds(*server.backOffUntil - now);
     if (server.limitPerSecond)
         described["limit_per_second"] = *server.limitPerSecond;
     if (server.removeAt)
--- a/src/protocol/server_http_messages.cpp
+++ b/src/protocol/server_http_messages.cpp
@@ -17,6 +17,8 @@
 constexpr int statusOk = 200;
 constexpr int firstNonSuccessStatus = 300;
 constexpr int statusMisdirected = 421;
+constexpr int statusUnavailable = 503;
+constexpr std::chrono::seconds maxBackOff = std::chrono::hours { 24 }; ///< as for the other times in headers
 
 std::optional<state::gateway::load_report> parseLoad(const server_http_format& format, const http::message& answer)
 {
@@ -24,18 +26,40 @@
     return load && format.parseLoad ? format.parseLoad(*load) : std::nullopt;
 }
 
+/// Parses a number that is not negative, with an optional fraction and without an exponent.
+std::optional<double> parseDecimal(std::string_view text)
+{
+    double number = 0;
+    const auto* const last = text.data() + text.size();
+    const auto [end, error] = std::from_chars(text.data(), last, number, std::chars_format::fixed);
+    const bool valid = error == std::errc {} && end == last && std::isfinite(number) && number >= 0;
+    return valid ? std::optional { number } : std::nullopt;
+}
+
 state::gateway::limit_report readLimit(const server_http_format& format, const http::message& answer)
 {
-    using state::gateway::limit_statement;
+    using state::gateway::header_statement;
+    using state::gateway::limit_report;
     const auto text = findHeader(answer, format.names.requestLimit);
     if (!text)
         return {};
-    double perSecond = 0;
-    const auto* const last = text->data() + text->size();
-    const auto [end, error] = std::from_chars(text->data(), last, perSecond, std::chars_format::fixed);
-    if (error != std::errc {} || end != last || !std::isfinite(perSecond) || perSecond < 0)
-        return { limit_statement::unreadable, 0 };
-    return { limit_statement::named, perSecond };
+    const auto perSecond = parseDecimal(*text);
+    return perSecond ? limit_report { header_statement::named, *perSecond }
+                     : limit_report { header_statement::unreadable, 0 };
+}
+
+/// Reads the Retry-After header of a refusal. HTTP also allows a date there, which servers do not send.
+state::gateway::back_off_report readBackOff(const http::message& answer)
+{
+    using state::gateway::header_statement;
+    const auto text = findHeader(answer, "Retry-After");
+    if (answer.status != statusUnavailable || !text)
+        return {};
+    const auto seconds = parseDecimal(*text);
+    if (!seconds || *seconds > maxBackOff.count())
+        return { header_statement::unreadable, {} };
+    return { header_statement::named,
+        std::chrono::duration_cast<state::duration>(std::chrono::duration<double> { *seconds }) };
 }
 
 /// Whether a server says that it has not run the request.
@@ -84,6 +108,7 @@
         finished.outcome = answer.status == statusOk ? probe_outcome::healthy : probe_outcome::unhealthy;
     finished.report = parseLoad(format, answer);
     finished.limit = readLimit(format, answer);
+    finished.backOff = readBackOff(answer);
     if (const auto cold = findHeader(answer, format.names.coldRemaining))
         finished.coldRemaining = http::parseMilliseconds(*cold).value_or(state::duration::zero());
     return finished;
@@ -95,6 +120,7 @@
     finished.status = answer.status;
     finished.report = parseLoad(format, answer);
     finished.limit = readLimit(format, answer);
+    finished.backOff = readBackOff(answer);
     const bool success = answer.status >= statusOk && answer.status < firstNonSuccessStatus;
     const bool isSigned = findHeader(answer, format.names.signature).has_value();
     const bool hasId = findHeader(answer, format.names.requestId).has_value();
--- a/src/state/gateway/server_state.hpp
+++ b/src/state/gateway/server_state.hpp
@@ -17,20 +17,29 @@
     time_point receivedAt;
 };
 
-/// What a response says about the server's rate limit, which applies to all hosts together.
-enum class limit_statement {
-    none, ///< it contains no limit
+/// What a header of a response says.
+enum class header_statement {
+    none, ///< the response does not contain it
     named,
-    unreadable, ///< its limit is not a number, so the last known one still applies
+    unreadable, ///< its value is malformed or out of range, so what was known still applies
 };
 
+/// What a response says about the server's rate limit, which applies to all hosts together.
 struct limit_report {
-    limit_statement statement = limit_statement::none;
+    header_statement statement = header_statement::none;
     double perSecond = 0; ///< requests per second; only if named
 
     [[nodiscard]] bool operator==(const limit_report&) const = default;
 };
 
+/// For how long a server that has refused a request asks this host to send it nothing.
+struct back_off_report {
+    header_statement statement = header_statement::none;
+    duration time {}; ///< only if named
+
+    [[nodiscard]] bool operator==(const back_off_report&) const = default;
+};
+
 /// State of a registered server as known to this node.
 struct server_state {
     server_entry entry;
@@ -51,6 +60,7 @@
     std::optional<time_point> limitSaidAt;
     std::optional<time_point> limitEndedAt; ///< fleet time; set while other hosts may still know a limit that has ended
     std::optional<time_point> lastSendAt; ///< when this node last sent it a request
+    std::optional<time_point> backOffUntil; ///< the server has asked this host to send it nothing until then
 
     double slowdownFactor
         = 1; ///< ratio of observed duration to the duration expected from the load report, moving average
--- a/src/transport/loop/gateway_metrics.cpp
+++ b/src/transport/loop/gateway_metrics.cpp
@@ -1,5 +1,6 @@
 #include "transport/loop/gateway_metrics.hpp"
 
+#include "coordination/gateway/server_back_off.hpp"
 #include "transport/metric_families.hpp"
 
 #include <algorithm>
@@ -45,6 +46,14 @@
         [](const auto& entry) { return entry.second.limitPerSecond.has_value(); });
     families.push_back(makeGauge(
         "acaciaslip_limited_servers", "Servers that name a limit on their requests", static_cast<double>(limited)));
+    const auto backingOff = std::count_if(node.servers.begin(), node.servers.end(),
+        [&](const auto& entry) { return coordination::gateway::isBackingOff(entry.second, now); });
+    families.push_back(makeGauge("acaciaslip_back_off_servers", "Servers that have asked this host for no requests now",
+        static_cast<double>(backingOff)));
+    families.push_back(makeCounter("acaciaslip_back_offs_total",
+        "Refusals of servers that name a time without requests", node.counters.backOffsNamed));
+    families.push_back(makeCounter("acaciaslip_back_offs_unreadable_total",
+        "Likewise, with a time that is malformed or out of range", node.counters.backOffsUnreadable));
     families.push_back(makeGauge(
         "acaciaslip_configuration_version", "Version in force, 0 for none", node.config ? node.config->version : 0));
     families.push_back(makeGauge("acaciaslip_fleet_revision", "Revision up to which the published fleet is known",
--- a/tests/coordination/gateway/probing_test.cpp
+++ b/tests/coordination/gateway/probing_test.cpp
@@ -182,7 +182,7 @@
         finished.id = sent.id;
         finished.outcome = state::attempt_outcome::answered;
         finished.status = 200;
-        finished.limit = { state::gateway::limit_statement::named, 5 };
+        finished.limit = { state::gateway::header_statement::named, 5 };
         handleEvent(finished);
     };
     answer(startAndSend());
--- a/tests/coordination/gateway/request_flow_test.cpp
+++ b/tests/coordination/gateway/request_flow_test.cpp
@@ -185,7 +185,7 @@
 /// does not end it.
 TEST_F(request_flow_test, Server_NamesLimit_LastsUntilRegularAnswerWithoutIt)
 {
-    using state::gateway::limit_statement;
+    using state::gateway::header_statement;
     publishServers(1);
     const auto& server = m_node.servers.at("s0");
     const auto answer = [&](state::attempt_outcome outcome, int status, state::gateway::limit_report limit) {
@@ -199,12 +199,12 @@
         return server.limitPerSecond;
     };
     using state::attempt_outcome;
-    EXPECT_EQ(answer(attempt_outcome::answered, 200, { limit_statement::named, 1.5 }), 1.5);
+    EXPECT_EQ(answer(attempt_outcome::answered, 200, { header_statement::named, 1.5 }), 1.5);
     EXPECT_EQ(answer(attempt_outcome::shed, 503, {}), 1.5);
-    EXPECT_EQ(answer(attempt_outcome::shed, 421, { limit_statement::named, 7 }), 1.5);
+    EXPECT_EQ(answer(attempt_outcome::shed, 421, { header_statement::named, 7 }), 1.5);
     EXPECT_EQ(answer(attempt_outcome::answered, 500, {}), 1.5);
-    EXPECT_EQ(answer(attempt_outcome::answered, 200, { limit_statement::unreadable, 0 }), 1.5);
-    EXPECT_EQ(answer(attempt_outcome::shed, 503, { limit_statement::named, 2 }), 2);
+    EXPECT_EQ(answer(attempt_outcome::answered, 200, { header_statement::unreadable, 0 }), 1.5);
+    EXPECT_EQ(answer(attempt_outcome::shed, 503, { header_statement::named, 2 }), 2);
     EXPECT_EQ(answer(attempt_outcome::answered, 200, {}), std::nullopt);
 }
 
--- a/tests/coordination/gateway/server_limit_test.cpp
+++ b/tests/coordination/gateway/server_limit_test.cpp
@@ -1,6 +1,6 @@
 #include "coordination/gateway/fleet_clock.hpp"
 #include "coordination/gateway/server_limit.hpp"
-#include "coordination/gateway/simulated_hosts.hpp"
+#include "coordination/gateway/serving_fleet.hpp"
 
 #include <algorithm>
 #include <deque>
@@ -11,23 +11,17 @@
 namespace acaciaslip::coordination::gateway {
 namespace {
 
-constexpr state::duration workTime = 200ms; ///< of a request on a server
 constexpr state::duration warningTime = 500ms; ///< between a host's first answer with a limit and its effect
 constexpr state::duration limitWindow = 4s; ///< over which requests to a limited server are counted
 
-/// A fleet with callers whose servers name limits. Counts what each limited server receives from hosts that it has
-/// told.
-class limited_fleet {
+/// A fleet whose servers name limits. Counts what each limited server receives from hosts that it has told.
+class limited_fleet : public serving_fleet {
 public:
     /// \param hostCount a multiple of three
     limited_fleet(std::size_t hostCount, std::size_t serverCount, double requestsPerSecond)
-        : hosts { hostCount / 3 }
-        , m_serverCount { serverCount }
-        , m_interval { std::chrono::duration_cast<state::duration>(
-              std::chrono::duration<double> { 1 / requestsPerSecond }) }
+        : serving_fleet { hostCount, serverCount, requestsPerSecond }
     {
-        publish();
-        hosts.otherEffects = [this](const std::string& ip, const effect& requested) { process(ip, requested); };
+        serve = [this](const std::string& ip, const send_request& sent) { return answer(ip, sent); };
     }
 
     /// From now on, these servers name a limit in each answer.
@@ -44,97 +38,31 @@
     /// Restarts a host, which loses all that it knows.
     void restart(std::size_t index)
     {
-        const auto ip = simulated_hosts::ipOf(index);
-        const auto dataCentre = hosts.nodes.at(ip).settings.dataCentre;
-        hosts.nodes.erase(ip);
-        m_told.erase(ip);
-        std::erase_if(m_pending, [&](const auto& entry) { return entry.second.first == ip; });
-        hosts.add(index, dataCentre);
+        m_told.erase(simulated_hosts::ipOf(index));
+        serving_fleet::restart(index);
     }
 
-    void run(state::duration span)
+    /// Number of callers that were refused.
+    [[nodiscard]] std::size_t refused() const
     {
-        for (const auto end = hosts.now + span; hosts.now < end;) {
-            for (; m_nextRequestAt <= hosts.now;
-                 m_nextRequestAt = std::max(m_nextRequestAt, hosts.now - 1s) + m_interval)
-                startRequest();
-            while (!m_pending.empty() && m_pending.begin()->first <= hosts.now) {
-                const auto [ip, happened] = m_pending.begin()->second;
-                m_pending.erase(m_pending.begin());
-                if (hosts.nodes.contains(ip))
-                    hosts.handleEvent(ip, happened);
-            }
-            hosts.run(10ms);
-        }
+        return static_cast<std::size_t>(std::count_if(
+            outcomes.begin(), outcomes.end(), [](const caller_outcome& outcome) { return !outcome.answered; }));
     }
 
     /// Most requests that one limited server received within `limitWindow` from hosts that it had told.
     std::size_t mostReceived = 0;
     std::size_t sentToLimited = 0;
-    std::size_t refused = 0;
-    simulated_hosts hosts;
 
 private:
-    void publish()
-    {
-        state::gateway::route route;
-        route.name = "lookups";
-        route.host = "shop.example";
-        route.pathPrefix = "/";
-        route.kind = state::gateway::request_kind::idempotent;
-        route.objective = 600ms;
-        route.timeout = 2s;
-        route.attempts = 2;
-        route.split = { { "a", 1 } };
-        state::gateway::configuration config;
-        config.version = 1;
-        config.routes = { route };
-        config.services = { { "a", "/health", 1000, 3s, 3.4 } };
-        hosts.store.config = { ++hosts.store.asOf, config };
-        for (std::size_t server = 0; server < m_serverCount; ++server) {
-            const auto id = "s" + std::to_string(server);
-            state::gateway::server_entry entry { id, "a", "10.9.0.1:" + std::to_string(1000 + server),
-                std::string(1, static_cast<char>('a' + server % 3)), 50, false, {}, 1 };
-            hosts.store.servers[id] = { ++hosts.store.asOf, entry };
-        }
-    }
-
-    void startRequest()
-    {
-        auto position = hosts.nodes.begin();
-        std::advance(position, m_random(static_cast<std::uint32_t>(hosts.nodes.size())));
-        hosts.handleEvent(position->first,
-            request_arrived {
-                state::request_id { ++m_lastRequest }, std::to_string(m_lastRequest), "shop.example", "/x", 2s });
-    }
-
-    void process(const std::string& ip, const effect& requested)
-    {
-        if (const auto* probe = std::get_if<probe_server>(&requested)) {
-            probe_finished finished;
-            finished.id = probe->id;
-            finished.server = probe->server;
-            finished.outcome = probe_outcome::healthy;
-            finished.report = { 0, 0, 50, 1, {} };
-            m_pending.emplace(hosts.now + 10ms, std::pair { ip, event { finished } });
-        } else if (const auto* sent = std::get_if<send_request>(&requested))
-            answer(ip, *sent);
-        else if (std::holds_alternative<refuse_caller>(requested))
-            ++refused;
-    }
-
-    void answer(const std::string& ip, const send_request& sent)
+    server_reaction answer(const std::string& ip, const send_request& sent)
     {
-        attempt_finished finished;
-        finished.id = sent.id;
-        finished.outcome = state::attempt_outcome::answered;
-        finished.status = 200;
+        auto finished = makeAnswer();
         if (std::stoul(sent.server.substr(1)) < m_limited) {
             record(ip, sent.server);
-            finished.limit = { state::gateway::limit_statement::named, m_limitPerSecond };
+            finished.limit = { state::gateway::header_statement::named, m_limitPerSecond };
             m_told[ip].try_emplace(sent.server, hosts.now + workTime);
         }
-        m_pending.emplace(hosts.now + workTime, std::pair { ip, event { finished } });
+        return { finished, workTime };
     }
 
     /// Counts requests from the moment at which the limit binds all hosts that it has reached.
@@ -152,15 +80,9 @@
             mostReceived = std::max(mostReceived, received.size());
     }
 
-    std::size_t m_serverCount;
-    state::duration m_interval;
-    state::time_point m_nextRequestAt { 1h + 5s };
     double m_limitPerSecond = 0;
     std::size_t m_limited = 0;
     state::time_point m_limitedSince;
-    std::uint64_t m_lastRequest = 0;
-    random_generator m_random { 11 };
-    std::multimap<state::time_point, std::pair<std::string, event>> m_pending;
     std::map<std::string, std::map<std::string, state::time_point>> m_told; ///< by host and server
     std::map<std::string, std::deque<state::time_point>> m_received; ///< by server
 };
@@ -341,9 +263,9 @@
     fleet.run(10s);
     fleet.endLimit();
     fleet.run(30s);
-    fleet.refused = 0;
+    fleet.outcomes.clear();
     fleet.run(10s);
-    EXPECT_EQ(fleet.refused, 0U);
+    EXPECT_EQ(fleet.refused(), 0U);
     for (const auto& [ip, node] : fleet.hosts.nodes) {
         for (const auto& [id, server] : node.servers)
             EXPECT_FALSE(server.limitPerSecond) << ip << " " << id;
--- /dev/null
+++ b/tests/coordination/gateway/serving_fleet.hpp
@@ -0,0 +1,181 @@
+#pragma once
+
+#include "coordination/gateway/simulated_hosts.hpp"
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace acaciaslip::coordination::gateway {
+
+/// What a server does with a request.
+struct server_reaction {
+    attempt_finished finished; ///< its id is set by the fleet
+    state::duration after {}; ///< time until it has been received
+};
+
+/// How the request of a caller ended.
+struct caller_outcome {
+    std::string host;
+    bool answered = false;
+    refuse_caller refusal; ///< if it was not answered
+    state::duration took {};
+};
+
+/// Entry hosts with callers in front and the servers of one service behind them, on one virtual clock. The test decides
+/// what the servers do.
+class serving_fleet {
+public:
+    static constexpr state::duration workTime = 200ms; ///< of a request on a server
+    static constexpr state::duration roundTrip = 10ms;
+
+    /// \param hostCount a multiple of three
+    serving_fleet(std::size_t hostCount, std::size_t serverCount, double requestsPerSecond)
+        : hosts { hostCount / 3 }
+        , m_serverCount { serverCount }
+        , m_interval { std::chrono::duration_cast<state::duration>(
+              std::chrono::duration<double> { 1 / requestsPerSecond }) }
+    {
+        publish();
+        hosts.otherEffects = [this](const std::string& ip, const effect& requested) { process(ip, requested); };
+    }
+
+    /// Restarts a host, which loses all that it knows.
+    void restart(std::size_t index)
+    {
+        const auto ip = simulated_hosts::ipOf(index);
+        const auto dataCentre = hosts.nodes.at(ip).settings.dataCentre;
+        stop(ip);
+        hosts.add(index, dataCentre);
+    }
+
+    void run(state::duration span)
+    {
+        for (const auto end = hosts.now + span; hosts.now < end;) {
+            for (; m_nextRequestAt <= hosts.now;
+                 m_nextRequestAt = std::max(m_nextRequestAt, hosts.now - 1s) + m_interval)
+                startRequest(chooseHost(), "/x");
+            while (!m_pending.empty() && m_pending.begin()->first <= hosts.now) {
+                const auto [ip, happened] = m_pending.begin()->second;
+                m_pending.erase(m_pending.begin());
+                if (hosts.nodes.contains(ip))
+                    hosts.handleEvent(ip, happened);
+            }
+            hosts.run(10ms);
+        }
+    }
+
+    /// Starts a request of a caller at a host.
+    state::request_id startRequest(const std::string& ip, const std::string& path)
+    {
+        const state::request_id id { ++m_lastRequest };
+        m_startedAt[id] = hosts.now;
+        hosts.handleEvent(ip, request_arrived { id, std::to_string(m_lastRequest), "shop.example", path, 2s });
+        return id;
+    }
+
+    /// A random host.
+    std::string chooseHost()
+    {
+        auto position = hosts.nodes.begin();
+        std::advance(position, m_random(static_cast<std::uint32_t>(hosts.nodes.size())));
+        return position->first;
+    }
+
+    [[nodiscard]] std::size_t serverCount() const noexcept { return m_serverCount; }
+
+    static attempt_finished makeAnswer()
+    {
+        attempt_finished finished;
+        finished.outcome = state::attempt_outcome::answered;
+        finished.status = 200;
+        return finished;
+    }
+
+    std::function<server_reaction(const std::string& ip, const send_request&)> serve
+        = [](const std::string&, const send_request&) {
+              return server_reaction { makeAnswer(), workTime };
+          };
+    std::function<void(const std::string& ip, const probe_server&)> probed; ///< called for each probe
+    std::function<void(const caller_outcome&)> ended; ///< called for each caller
+    std::vector<caller_outcome> outcomes;
+    simulated_hosts hosts;
+
+private:
+    void stop(const std::string& ip)
+    {
+        hosts.nodes.erase(ip);
+        std::erase_if(m_pending, [&](const auto& entry) { return entry.second.first == ip; });
+    }
+
+    void publish()
+    {
+        state::gateway::route route;
+        route.name = "lookups";
+        route.host = "shop.example";
+        route.pathPrefix = "/";
+        route.kind = state::gateway::request_kind::idempotent;
+        route.objective = 600ms;
+        route.timeout = 2s;
+        route.attempts = 2;
+        route.split = { { "a", 1 } };
+        state::gateway::configuration config;
+        config.version = 1;
+        config.routes = { route };
+        config.services = { { "a", "/health", 1000, 3s, 3.4 } };
+        hosts.store.config = { ++hosts.store.asOf, config };
+        for (std::size_t server = 0; server < m_serverCount; ++server) {
+            const auto id = "s" + std::to_string(server);
+            state::gateway::server_entry entry { id, "a", "10.9.0.1:" + std::to_string(1000 + server),
+                std::string(1, static_cast<char>('a' + server % 3)), 50, false, {}, 1 };
+            hosts.store.servers[id] = { ++hosts.store.asOf, entry };
+        }
+    }
+
+    void process(const std::string& ip, const effect& requested)
+    {
+        if (const auto* probe = std::get_if<probe_server>(&requested))
+            answerProbe(ip, *probe);
+        else if (const auto* sent = std::get_if<send_request>(&requested)) {
+            auto reaction = serve(ip, *sent);
+            reaction.finished.id = sent->id;
+            m_pending.emplace(hosts.now + reaction.after, std::pair { ip, event { reaction.finished } });
+        } else if (const auto* answered = std::get_if<answer_caller>(&requested))
+            recordOutcome({ ip, true, {}, hosts.now - m_startedAt[answered->id] });
+        else if (const auto* refused = std::get_if<refuse_caller>(&requested))
+            recordOutcome({ ip, false, *refused, hosts.now - m_startedAt[refused->id] });
+    }
+
+    void recordOutcome(caller_outcome outcome)
+    {
+        if (ended)
+            ended(outcome);
+        outcomes.push_back(std::move(outcome));
+    }
+
+    void answerProbe(const std::string& ip, const probe_server& probe)
+    {
+        if (probed)
+            probed(ip, probe);
+        probe_finished finished;
+        finished.id = probe.id;
+        finished.server = probe.server;
+        finished.outcome = probe_outcome::healthy;
+        finished.report = { 0, 0, 50, 1, {} };
+        m_pending.emplace(hosts.now + roundTrip, std::pair { ip, event { finished } });
+    }
+
+    std::size_t m_serverCount;
+    state::duration m_interval;
+    state::time_point m_nextRequestAt { 1h + 5s };
+    std::uint64_t m_lastRequest = 0;
+    random_generator m_random { 11 };
+    std::map<state::request_id, state::time_point> m_startedAt;
+    std::multimap<state::time_point, std::pair<std::string, event>> m_pending;
+};
+
+} // namespace acaciaslip::coordination::gateway
--- a/tests/protocol/server_http_messages_test.cpp
+++ b/tests/protocol/server_http_messages_test.cpp
@@ -71,19 +71,41 @@
 
 TEST_F(server_http_messages_test, Response_WithLimit_LimitReadFromAnswersAndProbes)
 {
-    using state::gateway::limit_statement;
-    EXPECT_EQ(readAttemptAnswer(m_format, m_answer).limit.statement, limit_statement::none);
+    using state::gateway::header_statement;
+    EXPECT_EQ(readAttemptAnswer(m_format, m_answer).limit.statement, header_statement::none);
     m_answer.headers.push_back({ "acaciaslip-limit", "1.5" });
     EXPECT_EQ(
-        readAttemptAnswer(m_format, m_answer).limit, (state::gateway::limit_report { limit_statement::named, 1.5 }));
+        readAttemptAnswer(m_format, m_answer).limit, (state::gateway::limit_report { header_statement::named, 1.5 }));
     EXPECT_EQ(readProbeAnswer(m_format, m_answer, "s7").limit,
-        (state::gateway::limit_report { limit_statement::named, 1.5 }));
+        (state::gateway::limit_report { header_statement::named, 1.5 }));
     for (const auto* text : { "", "a", "-1", "1.5x", "inf", "nan", "1e9999", "0x10" }) {
         m_answer.headers.back().value = text;
-        EXPECT_EQ(readAttemptAnswer(m_format, m_answer).limit.statement, limit_statement::unreadable) << text;
+        EXPECT_EQ(readAttemptAnswer(m_format, m_answer).limit.statement, header_statement::unreadable) << text;
     }
 }
 
+TEST_F(server_http_messages_test, Refusal_WithRetryAfter_TimeReadFromAnswersAndProbes)
+{
+    using state::gateway::back_off_report;
+    using state::gateway::header_statement;
+    const auto read = [&](int status, const char* text) {
+        m_answer.status = status;
+        m_answer.headers.back() = { "retry-after", text };
+        EXPECT_EQ(readProbeAnswer(m_format, m_answer, "s7").backOff, readAttemptAnswer(m_format, m_answer).backOff);
+        return readAttemptAnswer(m_format, m_answer).backOff;
+    };
+    m_answer.headers.emplace_back();
+    EXPECT_EQ(read(503, "5"), (back_off_report { header_statement::named, 5s }));
+    EXPECT_EQ(read(503, "4.5"), (back_off_report { header_statement::named, 4500ms }));
+    EXPECT_EQ(read(503, "0"), (back_off_report { header_statement::named, 0s }));
+    EXPECT_EQ(read(503, "86400"), (back_off_report { header_statement::named, 24h }));
+    for (const auto status : { 200, 421, 500 })
+        EXPECT_EQ(read(status, "5"), back_off_report {}) << status;
+    for (const auto* text : { "", "soon", "-3", "86400.1", "1000000000000000000000", "inf", "nan", "5s", "1e1",
+             "Wed, 21 Oct 2026 07:28:00 GMT" })
+        EXPECT_EQ(read(503, text).statement, header_statement::unreadable) << text;
+}
+
 /// Guards against a time that overflows when it is converted to nanoseconds: found by the fuzz program, the cold period
 /// was negative. A caller's deadline is read by the same function.
 TEST_F(server_http_messages_test, Milliseconds_OfAnySize_AreWithinADay)
