Send servers nothing in the pause that they ask for

Cause: nothing read Retry-After. A server that refused was sent requests as soon as no better one was left. Change: until the pause ends the host neither probes the server nor sends it a request; for 10 s more it comes after others, since it may refuse again. If all servers of a service pause, requests wait if they can be served in time, and are refused at once otherwise, with a Retry-After of the remaining time and a spread. The refusal has a reason of its own, back_off.

--- a/src/app/explain.cpp
+++ b/src/app/explain.cpp
@@ -14,8 +14,8 @@
 namespace {
 
 /// Events that describe the state of a host; the newest line of each is kept.
-constexpr std::array<std::string_view, 8> stateEvents { "started", "configuration", "evacuation", "store_lost",
-    "store_regained", "store_duty", "phase", "settings_reloaded" };
+constexpr std::array<std::string_view, 9> stateEvents { "started", "configuration", "evacuation", "store_lost",
+    "store_regained", "store_duty", "phase", "settings_reloaded", "server_back_off" };
 
 /// State of one host according to its log lines read so far.
 struct host_state {
--- a/src/coordination/gateway/probe_targets.cpp
+++ b/src/coordination/gateway/probe_targets.cpp
@@ -1,6 +1,7 @@
 #include "coordination/gateway/probe_targets.hpp"
 
 #include "coordination/gateway/cold_admission.hpp"
+#include "coordination/gateway/server_back_off.hpp"
 #include "coordination/gateway/server_health.hpp"
 #include "coordination/gateway/server_limit.hpp"
 
@@ -21,6 +22,8 @@
 
 constexpr std::size_t subsetSize = 12; ///< servers over all data centres, so that each data centre contributes some
 
+constexpr state::duration afterBackOffTime = std::chrono::seconds { 10 }; ///< in which a server may refuse again
+
 /// The ranks are added up, and servers with a lower sum are probed first. The random part is less than 1.
 constexpr double rankOutsideSubset = 1;
 constexpr double rankOtherDataCentre = 2;
@@ -28,6 +31,7 @@
 constexpr double rankSlowServer = 2;
 constexpr double rankFailing = 3;
 constexpr double rankLimited = 3; ///< a server that names a limit is in need
+constexpr double rankAfterBackOff = 3; ///< it may refuse again, which costs a repeat
 constexpr double rankCold = 20;
 constexpr double rankEjected = 50;
 
@@ -78,6 +82,8 @@
         rank += rankSlowServer;
     if (currentFailureRate(server, now) >= failingServerThreshold)
         rank += rankFailing;
+    if (server.backOffUntil && now < *server.backOffUntil + afterBackOffTime)
+        rank += rankAfterBackOff;
     if (now < server.coldUntil)
         rank += rankCold;
     if (isEjected(server, now))
@@ -94,7 +100,8 @@
 
 bool isAdmitted(const gateway_node& self, const state::gateway::server_state& server, state::time_point now) noexcept
 {
-    return mayReceiveWhileCold(self, server, now) && timeUntilWithinLimit(self, server, now) == state::duration::zero();
+    return !isBackingOff(server, now) && mayReceiveWhileCold(self, server, now)
+        && timeUntilWithinLimit(self, server, now) == state::duration::zero();
 }
 
 std::optional<state::duration> timeUntilLimitedServer(
@@ -107,7 +114,7 @@
     for (const auto& id : service->second.members) {
         const auto& server = self.servers.at(id);
         if (!server.limitPerSecond || contains(request.tried, id) || !isEligible(server, now) || isEjected(server, now)
-            || !mayReceiveWhileCold(self, server, now))
+            || isBackingOff(server, now) || !mayReceiveWhileCold(self, server, now))
             continue;
         const auto wait = timeUntilWithinLimit(self, server, now);
         if (wait > state::duration::zero())
--- a/src/coordination/gateway/probe_targets.hpp
+++ b/src/coordination/gateway/probe_targets.hpp
@@ -12,7 +12,8 @@
 /// Whether a server may receive new requests at all.
 [[nodiscard]] bool isEligible(const state::gateway::server_state& server, state::time_point now) noexcept;
 
-/// Whether this node may send one more request to a server now, as far as the server is cold or has named a limit.
+/// Whether this node may send one more request to a server now, as far as the server is cold, has named a limit, or has
+/// asked for a pause.
 [[nodiscard]] bool isAdmitted(
     const gateway_node& self, const state::gateway::server_state& server, state::time_point now) noexcept;
 
--- a/src/coordination/gateway/probing.cpp
+++ b/src/coordination/gateway/probing.cpp
@@ -101,17 +101,22 @@
     round.decideAt = now + window;
 }
 
-/// When all servers of a service have named limits, the request waits for this node's next turn if it can then still
-/// meet its objective, and is refused otherwise.
-void waitForTurn(gateway_node& self, pending_request& request, state::duration wait, state::time_point now,
-    random_generator& random, effect_list& effects)
+/// Waits for a moment at which a server is free, if the request can then still meet its objective, and refuses it
+/// otherwise.
+/// \param why reason for the wait, for the log
+void waitOrRefuse(gateway_node& self, pending_request& request, std::string_view why, state::duration wait,
+    state::refusal_reason reason, state::time_point now, random_generator& random, effect_list& effects)
 {
-    effects.emplace_back(describeProbePause(request, "limited", wait, now));
+    effects.emplace_back(describeProbePause(request, why, wait, now));
     request.round.reset();
     const auto typical = typicalServiceTime(self, request.service, request.matched->objective);
-    if (now + wait + typical > request.objectiveAt)
-        return endWithRefusal(self, request, state::refusal_reason::overloaded, now, random, effects);
-    request.probeAgainAt = now + std::max<state::duration>(wait, minPause);
+    const auto latest = request.objectiveAt - typical;
+    if (now + wait > latest)
+        return endWithRefusal(self, request, reason, now, random, effects);
+    // The requests that wait for one moment must not all begin then.
+    const auto spread = std::min<state::duration>(
+        latest - (now + wait), reason == state::refusal_reason::back_off ? wait / 2 : state::duration {});
+    request.probeAgainAt = now + std::max<state::duration>(wait + spread / 1024 * random(1024), minPause);
     schedule(self, request);
 }
 
@@ -128,7 +133,9 @@
     const bool allAnswered = request.round->answered.size() == request.round->probed.size();
     const auto turn = allAnswered ? timeUntilLimitedServer(self, request, now) : std::nullopt;
     if (turn)
-        return waitForTurn(self, request, *turn, now, random, effects);
+        return waitOrRefuse(self, request, "limited", *turn, state::refusal_reason::overloaded, now, random, effects);
+    if (const auto pause = timeUntilBackOffEnds(self, request.service, now))
+        return waitOrRefuse(self, request, "back_off", *pause, state::refusal_reason::back_off, now, random, effects);
     effects.emplace_back(describeProbePause(request, noServer ? "nobody_to_ask" : "no_answer", {}, now));
     request.round.reset();
     if (noServer || request.rounds >= maxUnansweredRounds)
--- a/src/coordination/gateway/request_end.cpp
+++ b/src/coordination/gateway/request_end.cpp
@@ -68,8 +68,11 @@
     const auto outcome = verdictWithoutAnswer(request);
     countOutcome(self, request, outcome, now);
     ++self.counters.refusals[reason];
-    effects.emplace_back(describeEnd(request, state::findName(state::refusalReasonNames, reason), now));
-    const auto retryAfter = estimateRetryAfter(self, request.service, reason, random);
+    const auto retryAfter = estimateRetryAfter(self, request.service, reason, now, random);
+    auto line = describeEnd(request, state::findName(state::refusalReasonNames, reason), now);
+    line.fields.emplace_back(
+        "retry_after_ms", std::to_string(static_cast<std::int64_t>(state::toMilliseconds(retryAfter))));
+    effects.emplace_back(std::move(line));
     effects.emplace_back(refuse_caller { request.id, reason, outcome, retryAfter, isLeaving(self) });
     cancelRunning(self, request, effects);
     removeRequest(self, request);
@@ -86,7 +89,7 @@
 }
 
 void refuseUnadmitted(gateway_node& self, state::request_id id, std::string_view callerRequestId,
-    state::refusal_reason reason, random_generator& random, effect_list& effects)
+    state::refusal_reason reason, state::time_point now, random_generator& random, effect_list& effects)
 {
     ++self.counters.requestsByVerdict[state::verdict::not_run];
     ++self.counters.refusals[reason];
@@ -95,7 +98,7 @@
             { "outcome", std::string(state::findName(state::refusalReasonNames, reason)) },
             { "config", self.config ? std::to_string(self.config->version) : "none" } } });
     effects.emplace_back(refuse_caller {
-        id, reason, state::verdict::not_run, estimateRetryAfter(self, {}, reason, random), isLeaving(self) });
+        id, reason, state::verdict::not_run, estimateRetryAfter(self, {}, reason, now, random), isLeaving(self) });
 }
 
 } // namespace acaciaslip::coordination::gateway
--- a/src/coordination/gateway/request_end.hpp
+++ b/src/coordination/gateway/request_end.hpp
@@ -21,6 +21,6 @@
 
 /// Refuses a request that was not admitted.
 void refuseUnadmitted(gateway_node& self, state::request_id id, std::string_view callerRequestId,
-    state::refusal_reason reason, random_generator& random, effect_list& effects);
+    state::refusal_reason reason, state::time_point now, random_generator& random, effect_list& effects);
 
 } // namespace acaciaslip::coordination::gateway
--- a/src/coordination/gateway/request_flow.cpp
+++ b/src/coordination/gateway/request_flow.cpp
@@ -168,14 +168,14 @@
 {
     if (self.phase >= node_phase::draining)
         return refuseUnadmitted(
-            self, arrived.id, arrived.callerRequestId, state::refusal_reason::leaving, random, effects);
+            self, arrived.id, arrived.callerRequestId, state::refusal_reason::leaving, now, random, effects);
     if (!self.config)
         return refuseUnadmitted(
-            self, arrived.id, arrived.callerRequestId, state::refusal_reason::no_server, random, effects);
+            self, arrived.id, arrived.callerRequestId, state::refusal_reason::no_server, now, random, effects);
     const auto* route = findRoute(*self.config, arrived.host, arrived.path);
     if (route == nullptr)
         return refuseUnadmitted(
-            self, arrived.id, arrived.callerRequestId, state::refusal_reason::no_route, random, effects);
+            self, arrived.id, arrived.callerRequestId, state::refusal_reason::no_route, now, random, effects);
     auto& request = self.requests[static_cast<std::uint64_t>(arrived.id)] = makeRequest(self, arrived, *route, now);
     recordRequest(self.services[request.service].retryBudget, self.settings.limits, now);
     schedule(self, request);
--- a/src/coordination/gateway/retry_after.cpp
+++ b/src/coordination/gateway/retry_after.cpp
@@ -1,5 +1,7 @@
 #include "coordination/gateway/retry_after.hpp"
 
+#include "coordination/gateway/server_back_off.hpp"
+
 namespace acaciaslip::coordination::gateway {
 
 namespace {
@@ -21,6 +23,13 @@
     return base / 2 + state::duration { random(half + 1) } + state::duration { half / 2 };
 }
 
+/// A caller that returns before the given time would be refused again. The time after it spreads the callers.
+state::duration addSpread(state::duration earliest, random_generator& random)
+{
+    const auto spread = std::max<state::duration>(earliest / 2, afterOverload);
+    return earliest + spread / 1024 * random(1024); // NOLINT(readability-magic-numbers): steps of the spread
+}
+
 state::duration findBase(const gateway_node& self, std::string_view service, state::refusal_reason reason)
 {
     switch (reason) {
@@ -28,6 +37,7 @@
         return afterLeaving;
     case state::refusal_reason::no_server:
         return self.config ? afterNoServer : afterStarting;
+    case state::refusal_reason::back_off:
     case state::refusal_reason::overloaded: {
         const auto known = self.services.find(service);
         if (known == self.services.end() || !known->second.typicalServiceTime)
@@ -42,9 +52,13 @@
 
 } // namespace
 
-state::duration estimateRetryAfter(
-    const gateway_node& self, std::string_view service, state::refusal_reason reason, random_generator& random)
+state::duration estimateRetryAfter(const gateway_node& self, std::string_view service, state::refusal_reason reason,
+    state::time_point now, random_generator& random)
 {
+    const bool needsServer = reason == state::refusal_reason::no_server || reason == state::refusal_reason::overloaded
+        || reason == state::refusal_reason::back_off;
+    if (const auto earliest = needsServer ? timeUntilBackOffEnds(self, service, now) : std::nullopt)
+        return addSpread(*earliest, random);
     const auto base = findBase(self, service, reason);
     return base > state::duration::zero() ? addJitter(base, random) : base;
 }
--- a/src/coordination/gateway/server_back_off.cpp
+++ b/src/coordination/gateway/server_back_off.cpp
@@ -1,5 +1,7 @@
 #include "coordination/gateway/server_back_off.hpp"
 
+#include "coordination/gateway/probe_targets.hpp"
+#include "coordination/gateway/server_health.hpp"
 #include "coordination/gateway/server_load.hpp"
 
 #include <algorithm>
@@ -30,4 +32,23 @@
     return server.backOffUntil && now < *server.backOffUntil;
 }
 
+std::optional<state::duration> timeUntilBackOffEnds(
+    const gateway_node& self, std::string_view service, state::time_point now)
+{
+    std::optional<state::duration> shortest;
+    const auto known = self.services.find(service);
+    if (known == self.services.end())
+        return shortest;
+    for (const auto& id : known->second.members) {
+        const auto& server = self.servers.at(id);
+        if (!isEligible(server, now))
+            continue;
+        if (isBackingOff(server, now))
+            shortest = std::min(shortest.value_or(state::duration::max()), *server.backOffUntil - now);
+        else if (!isEjected(server, now))
+            return std::nullopt;
+    }
+    return shortest;
+}
+
 } // namespace acaciaslip::coordination::gateway
