Log which requests servers were running when they ended

Cause: logs could not tell a server that ends from a connection that does, nor connect the tries of one request at several hosts (incident of the request that ends server after server). Change: when a connection breaks off during a request, the server is probed; if nothing listens at its address, server_crash is logged for each request that it ran, with a digest of method, host, target, credentials and body. Probes tell a refused connection from silence. Nothing acts on it yet. The simulated fleet can end servers.

--- /dev/null
+++ b/src/coordination/gateway/crash_detection.hpp
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "coordination/gateway/node.hpp"
+
+namespace acaciaslip::coordination::gateway {
+
+/// A connection that breaks off during a request may mean that the server has ended, or only that the connection has.
+/// The server is probed then: if nothing listens at its address any more, or another server, it has ended.
+
+/// Records that the connection of an attempt broke off, and probes the server.
+void checkForCrash(gateway_node& self, const state::gateway::pending_request& request,
+    const state::gateway::in_flight_attempt& attempt, state::time_point now, effect_list& effects);
+
+/// Handles the result of such a probe.
+/// \return false if it is a probe for a request
+bool finishCrashCheck(gateway_node& self, const probe_finished& finished, state::time_point now,
+    random_generator& random, effect_list& effects);
+
+} // namespace acaciaslip::coordination::gateway
--- a/src/coordination/gateway/events.hpp
+++ b/src/coordination/gateway/events.hpp
@@ -23,6 +23,7 @@
     std::string host; ///< without port
     std::string path; ///< without query
     std::optional<state::duration> callerTimeout; ///< the caller's timeout for the response, if it sent one
+    state::gateway::request_digest digest {};
 };
 
 /// The caller of a request in progress has closed its connection.
@@ -36,14 +37,16 @@
     unhealthy, ///< the server reports that it is unhealthy or draining
     other_server, ///< a different server now uses the address
     no_answer,
+    refused, ///< nothing listens at the address
     no_connection, ///< not probed: this node's share of the server's connections is in use
 };
 
-inline constexpr std::array<state::enum_name<probe_outcome>, 5> probeOutcomeNames { {
+inline constexpr std::array<state::enum_name<probe_outcome>, 6> probeOutcomeNames { {
     { probe_outcome::healthy, "healthy" },
     { probe_outcome::unhealthy, "unhealthy" },
     { probe_outcome::other_server, "other_server" },
     { probe_outcome::no_answer, "no_answer" },
+    { probe_outcome::refused, "refused" },
     { probe_outcome::no_connection, "no_connection" },
 } };
 
--- a/src/coordination/gateway/node.hpp
+++ b/src/coordination/gateway/node.hpp
@@ -63,6 +63,7 @@
     std::uint64_t hedges = 0;
     std::uint64_t retriesDenied = 0; ///< retries and hedges denied by the retry budget
     std::uint64_t callersDisconnected = 0;
+    std::uint64_t serverCrashes = 0; ///< servers that ended while they ran requests of this host
     std::uint64_t backOffsNamed = 0; ///< times a server asked this host to send it nothing for a while
     std::uint64_t backOffsUnreadable = 0; ///< likewise, with a time that is malformed or out of range
     std::uint64_t deltasApplied = 0;
@@ -107,6 +108,20 @@
     state::gateway::peer_ip failedSource; ///< peer of the latest fetch if it brought nothing
 };
 
+/// Requests whose connections to one server broke off, until it is known whether the server has ended; see
+/// `crash_detection.hpp`.
+struct crash_check {
+    struct run {
+        state::gateway::request_digest request;
+        std::string callerRequestId;
+        state::time_point startedAt;
+        state::time_point endedAt;
+    };
+    std::vector<run> runs;
+    state::gateway::probe_id probe {}; ///< the latest one
+    std::uint32_t probes = 0;
+};
+
 /// Fetches of other hosts from this one; see `fleet_serving.hpp`.
 struct fleet_serving {
     struct fetcher {
@@ -171,6 +186,7 @@
 
     std::unordered_map<std::uint64_t, state::gateway::pending_request> requests; ///< by request id
     std::unordered_map<std::uint64_t, state::request_id> probes; ///< by probe id
+    std::map<state::host_id, crash_check> crashChecks; ///< by server
     std::unordered_map<std::uint64_t, std::pair<state::request_id, state::host_id>> attempts; ///< by attempt id
     std::set<std::pair<state::time_point, std::uint64_t>> due; ///< one entry for every request in progress
     std::uint64_t nextProbe = 1;
--- a/src/coordination/gateway/probing.cpp
+++ b/src/coordination/gateway/probing.cpp
@@ -2,6 +2,7 @@
 
 #include "coordination/connection_limit.hpp"
 #include "coordination/gateway/completion_estimate.hpp"
+#include "coordination/gateway/crash_detection.hpp"
 #include "coordination/gateway/due_requests.hpp"
 #include "coordination/gateway/probe_targets.hpp"
 #include "coordination/gateway/request_end.hpp"
@@ -87,16 +88,13 @@
     auto& round = *request.round;
     for (const auto& id : chooseServersToProbe(self, request, maxCount, now, random)) {
         const auto& server = self.servers.at(id);
-        const auto* service = state::gateway::findService(*request.config, server.entry.service);
-        if (service == nullptr)
+        auto probe = makeProbe(self, server, *request.config);
+        if (!probe)
             continue;
-        const auto probe = state::gateway::probe_id { self.nextProbe++ };
-        self.probes[static_cast<std::uint64_t>(probe)] = request.id;
-        round.inFlight.push_back(probe);
+        self.probes[static_cast<std::uint64_t>(probe->id)] = request.id;
+        round.inFlight.push_back(probe->id);
         round.probed.push_back(id);
-        const auto share = std::max(connectionLimitPerHost(service->maxConnections, self.share.hosts), minConnections);
-        effects.emplace_back(
-            probe_server { probe, id, server.entry.address, service->healthPath, probeTimeout, share });
+        effects.emplace_back(std::move(*probe));
     }
     round.decideAt = now + window;
 }
@@ -222,7 +220,8 @@
     auto* const server = findServer(self, finished.server);
     if (server == nullptr || finished.outcome == probe_outcome::no_connection)
         return;
-    if (finished.outcome == probe_outcome::no_answer || finished.outcome == probe_outcome::other_server)
+    if (finished.outcome == probe_outcome::no_answer || finished.outcome == probe_outcome::refused
+        || finished.outcome == probe_outcome::other_server)
         return recordUnreachable(*server, now);
     recordReachable(*server);
     server->coldUntil = now + finished.coldRemaining;
@@ -234,6 +233,17 @@
 
 } // namespace
 
+std::optional<probe_server> makeProbe(
+    gateway_node& self, const state::gateway::server_state& server, const state::gateway::configuration& config)
+{
+    const auto* service = state::gateway::findService(config, server.entry.service);
+    if (service == nullptr)
+        return std::nullopt;
+    const auto share = std::max(connectionLimitPerHost(service->maxConnections, self.share.hosts), minConnections);
+    return probe_server { state::gateway::probe_id { self.nextProbe++ }, server.entry.id, server.entry.address,
+        service->healthPath, probeTimeout, share };
+}
+
 void startProbeRound(gateway_node& self, pending_request& request, send_reason reason, state::time_point now,
     random_generator& random, effect_list& effects)
 {
@@ -254,6 +264,8 @@
 {
     ++self.counters.probesByOutcome[finished.outcome];
     recordProbeResult(self, finished, now, effects);
+    if (finishCrashCheck(self, finished, now, random, effects))
+        return;
     const auto known = self.probes.find(static_cast<std::uint64_t>(finished.id));
     if (known == self.probes.end())
         return;
--- a/src/coordination/gateway/probing.hpp
+++ b/src/coordination/gateway/probing.hpp
@@ -20,4 +20,9 @@
 void finishProbeRound(gateway_node& self, state::gateway::pending_request& request, state::time_point now,
     random_generator& random, effect_list& effects);
 
+/// Makes a probe of a server.
+/// \return empty if the configuration does not contain the server's service
+[[nodiscard]] std::optional<probe_server> makeProbe(
+    gateway_node& self, const state::gateway::server_state& server, const state::gateway::configuration& config);
+
 } // namespace acaciaslip::coordination::gateway
--- a/src/coordination/gateway/request_flow.cpp
+++ b/src/coordination/gateway/request_flow.cpp
@@ -1,5 +1,6 @@
 #include "coordination/gateway/request_flow.hpp"
 
+#include "coordination/gateway/crash_detection.hpp"
 #include "coordination/gateway/due_requests.hpp"
 #include "coordination/gateway/probing.hpp"
 #include "coordination/gateway/request_end.hpp"
@@ -35,6 +36,7 @@
     pending_request request;
     request.id = arrived.id;
     request.callerRequestId = arrived.callerRequestId;
+    request.digest = arrived.digest;
     request.config = self.config;
     request.matched = &route;
     const double offset = self.share.hosts > 0 ? static_cast<double>(self.share.rank) / self.share.hosts : 0;
@@ -215,6 +217,8 @@
     inFlight.erase(position);
     effects.emplace_back(describeAttempt(request, attempt, finished, now));
     recordServerBehaviour(self, request, attempt, finished, now);
+    if (finished.outcome == attempt_outcome::cut)
+        checkForCrash(self, request, attempt, now, effects);
     processOutcome(self, request, attempt, finished, now, random, effects);
 }
 
--- a/src/coordination/gateway/request_log.cpp
+++ b/src/coordination/gateway/request_log.cpp
@@ -27,6 +27,11 @@
 
 } // namespace
 
+std::string describeDigest(const state::gateway::request_digest& digest)
+{
+    return fmt::format("{:016x}{:016x}", digest.high, digest.low);
+}
+
 log_event describeSend(const gateway_node& self, const pending_request& request, const state::host_id& server,
     const completion_estimate& estimate, state::gateway::send_reason reason, state::time_point now)
 {
--- a/src/coordination/gateway/request_log.hpp
+++ b/src/coordination/gateway/request_log.hpp
@@ -10,6 +10,9 @@
 /// Log lines that trace one request: each decision with its inputs and their age or version. All of them contain the
 /// caller's request id.
 
+/// Formats a digest as 32 hexadecimal digits.
+[[nodiscard]] std::string describeDigest(const state::gateway::request_digest& digest);
+
 /// A request is sent to a server, with the load report that led to the choice.
 [[nodiscard]] log_event describeSend(const gateway_node& self, const state::gateway::pending_request& request,
     const state::host_id& server, const completion_estimate& estimate, state::gateway::send_reason reason,
--- a/src/state/gateway/pending_request.hpp
+++ b/src/state/gateway/pending_request.hpp
@@ -2,6 +2,7 @@
 
 #include "state/enum_names.hpp"
 #include "state/gateway/configuration.hpp"
+#include "state/gateway/request_digest.hpp"
 #include "state/identifiers.hpp"
 #include "state/time.hpp"
 #include "state/verdict.hpp"
@@ -56,6 +57,7 @@
 struct pending_request {
     request_id id {};
     std::string callerRequestId; ///< request id that the caller chose, for logs
+    request_digest digest;
     std::shared_ptr<const configuration> config; ///< configuration that the request was routed with
     const route* matched = nullptr; ///< points into `config`
     std::string service;
--- a/src/state/verdict.hpp
+++ b/src/state/verdict.hpp
@@ -50,17 +50,19 @@
     no_server, ///< no server of the service may receive requests (503)
     overloaded, ///< the request queue is full, or the expected wait exceeds the deadline (503)
     back_off, ///< every server of the service has asked this host for a pause (503)
+    ends_servers, ///< servers have ended whenever they ran the request (503)
     duplicate_key, ///< this node is processing a request with the same Idempotency-Key (409)
     leaving, ///< this node is stopping (503)
     deadline_exceeded, ///< the deadline passed (504)
     broken_answer, ///< the server's answer was truncated, belonged to another request or was malformed (502)
 };
 
-inline constexpr std::array<enum_name<refusal_reason>, 8> refusalReasonNames { {
+inline constexpr std::array<enum_name<refusal_reason>, 9> refusalReasonNames { {
     { refusal_reason::no_route, "no_route" },
     { refusal_reason::no_server, "no_server" },
     { refusal_reason::overloaded, "overloaded" },
     { refusal_reason::back_off, "back_off" },
+    { refusal_reason::ends_servers, "ends_servers" },
     { refusal_reason::duplicate_key, "duplicate_key" },
     { refusal_reason::leaving, "leaving" },
     { refusal_reason::deadline_exceeded, "deadline_exceeded" },
--- a/src/transport/loop/gateway_metrics.cpp
+++ b/src/transport/loop/gateway_metrics.cpp
@@ -46,6 +46,8 @@
         [](const auto& entry) { return entry.second.limitPerSecond.has_value(); });
     families.push_back(makeGauge(
         "acaciaslip_limited_servers", "Servers that name a limit on their requests", static_cast<double>(limited)));
+    families.push_back(makeCounter("acaciaslip_server_crashes_total",
+        "Servers that ended while they ran requests of this host", node.counters.serverCrashes));
     const auto backingOff = std::count_if(node.servers.begin(), node.servers.end(),
         [&](const auto& entry) { return coordination::gateway::isBackingOff(entry.second, now); });
     families.push_back(makeGauge("acaciaslip_back_off_servers", "Servers that have asked this host for no requests now",
--- a/src/transport/loop/server_connections.cpp
+++ b/src/transport/loop/server_connections.cpp
@@ -298,6 +298,8 @@
         coordination::gateway::probe_finished finished;
         finished.id = *probe;
         finished.server = connection->server;
+        if (reason == connection_failure::not_connected)
+            finished.outcome = coordination::gateway::probe_outcome::refused;
         return m_sink(finished);
     }
     if (!attempt)
--- a/tests/coordination/gateway/serving_fleet.hpp
+++ b/tests/coordination/gateway/serving_fleet.hpp
@@ -21,6 +21,7 @@
 /// How the request of a caller ended.
 struct caller_outcome {
     std::string host;
+    std::string path;
     bool answered = false;
     refuse_caller refusal; ///< if it was not answered
     state::duration took {};
@@ -60,24 +61,40 @@
                  m_nextRequestAt = std::max(m_nextRequestAt, hosts.now - 1s) + m_interval)
                 startRequest(chooseHost(), "/x");
             while (!m_pending.empty() && m_pending.begin()->first <= hosts.now) {
-                const auto [ip, happened] = m_pending.begin()->second;
-                m_pending.erase(m_pending.begin());
-                if (hosts.nodes.contains(ip))
-                    hosts.handleEvent(ip, happened);
+                const auto next = m_pending.extract(m_pending.begin());
+                next.mapped()();
             }
             hosts.run(10ms);
         }
     }
 
-    /// Starts a request of a caller at a host.
-    state::request_id startRequest(const std::string& ip, const std::string& path)
+    /// Starts a request of a caller at a host. Requests with the same path have the same digest.
+    void startRequest(const std::string& ip, const std::string& path)
     {
         const state::request_id id { ++m_lastRequest };
-        m_startedAt[id] = hosts.now;
-        hosts.handleEvent(ip, request_arrived { id, std::to_string(m_lastRequest), "shop.example", path, 2s });
-        return id;
+        m_started[id] = { hosts.now, path };
+        hosts.handleEvent(ip,
+            request_arrived {
+                id, std::to_string(m_lastRequest), "shop.example", path, 2s, { 1, std::hash<std::string> {}(path) } });
     }
 
+    /// Calls a function at a later time.
+    void schedule(state::duration after, std::function<void()> call)
+    {
+        m_pending.emplace(hosts.now + after, std::move(call));
+    }
+
+    /// Gives a host an event at a later time, unless the host has been restarted by then.
+    void post(const std::string& ip, event happened, state::duration after)
+    {
+        schedule(after, [this, ip, happened = std::move(happened), starts = m_starts[ip]] {
+            if (hosts.nodes.contains(ip) && m_starts[ip] == starts)
+                hosts.handleEvent(ip, happened);
+        });
+    }
+
+    [[nodiscard]] const std::string& pathOf(state::request_id id) const { return m_started.at(id).path; }
+
     /// A random host.
     std::string chooseHost()
     {
@@ -96,10 +113,13 @@
         return finished;
     }
 
-    std::function<server_reaction(const std::string& ip, const send_request&)> serve
+    /// Returns what a server does with a request; empty: the test posts how the attempt ends.
+    std::function<std::optional<server_reaction>(const std::string& ip, const send_request&)> serve
         = [](const std::string&, const send_request&) {
               return server_reaction { makeAnswer(), workTime };
           };
+    std::function<probe_outcome(const probe_server&)> answerToProbe
+        = [](const probe_server&) { return probe_outcome::healthy; };
     std::function<void(const std::string& ip, const probe_server&)> probed; ///< called for each probe
     std::function<void(const caller_outcome&)> ended; ///< called for each caller
     std::vector<caller_outcome> outcomes;
@@ -109,7 +129,7 @@
     void stop(const std::string& ip)
     {
         hosts.nodes.erase(ip);
-        std::erase_if(m_pending, [&](const auto& entry) { return entry.second.first == ip; });
+        ++m_starts[ip];
     }
 
     void publish()
@@ -141,17 +161,21 @@
         if (const auto* probe = std::get_if<probe_server>(&requested))
             answerProbe(ip, *probe);
         else if (const auto* sent = std::get_if<send_request>(&requested)) {
-            auto reaction = serve(ip, *sent);
-            reaction.finished.id = sent->id;
-            m_pending.emplace(hosts.now + reaction.after, std::pair { ip, event { reaction.finished } });
+            if (auto reaction = serve(ip, *sent)) {
+                reaction->finished.id = sent->id;
+                post(ip, reaction->finished, reaction->after);
+            }
         } else if (const auto* answered = std::get_if<answer_caller>(&requested))
-            recordOutcome({ ip, true, {}, hosts.now - m_startedAt[answered->id] });
+            recordOutcome(answered->id, { ip, {}, true, {}, {} });
         else if (const auto* refused = std::get_if<refuse_caller>(&requested))
-            recordOutcome({ ip, false, *refused, hosts.now - m_startedAt[refused->id] });
+            recordOutcome(refused->id, { ip, {}, false, *refused, {} });
     }
 
-    void recordOutcome(caller_outcome outcome)
+    void recordOutcome(state::request_id id, caller_outcome outcome)
     {
+        const auto& started = m_started.at(id);
+        outcome.path = started.path;
+        outcome.took = hosts.now - started.at;
         if (ended)
             ended(outcome);
         outcomes.push_back(std::move(outcome));
@@ -164,18 +188,24 @@
         probe_finished finished;
         finished.id = probe.id;
         finished.server = probe.server;
-        finished.outcome = probe_outcome::healthy;
+        finished.outcome = answerToProbe(probe);
         finished.report = { 0, 0, 50, 1, {} };
-        m_pending.emplace(hosts.now + roundTrip, std::pair { ip, event { finished } });
+        post(ip, finished, roundTrip);
     }
 
+    struct started_request {
+        state::time_point at;
+        std::string path;
+    };
+
     std::size_t m_serverCount;
     state::duration m_interval;
     state::time_point m_nextRequestAt { 1h + 5s };
     std::uint64_t m_lastRequest = 0;
     random_generator m_random { 11 };
-    std::map<state::request_id, state::time_point> m_startedAt;
-    std::multimap<state::time_point, std::pair<std::string, event>> m_pending;
+    std::map<state::request_id, started_request> m_started;
+    std::map<std::string, std::uint32_t> m_starts; ///< restarts by host
+    std::multimap<state::time_point, std::function<void()>> m_pending;
 };
 
 } // namespace acaciaslip::coordination::gateway
