Refuse requests that end server after server on all hosts

Cause: nothing connected a broken connection with the request that had broken it, nor the hosts that saw it. Change: a confirmed crash makes each request that ran there a suspect, by its digest. Crashes are reported to two hosts of each data centre, chosen by a hash of the request; these tell all hosts when it has become lethal: three runs, one after the other, ended with their server and none was answered. Lethal requests are refused at once as ends_servers (503, not run). Innocent ones are told apart: an answered run clears, servers that end together count once, crashes of a worse suspect do not count, and a request that was answered before needs five. A refused one is tried by a single host after 1 and 5 minutes. Everything is bounded (256 suspects, 10 minutes) and shown in dump, metrics, log and explain.

--- a/src/app/explain.cpp
+++ b/src/app/explain.cpp
@@ -21,6 +21,7 @@
 struct host_state {
     std::map<std::string, std::string> newest; ///< newest line by event
     std::map<std::string, std::string> servers; ///< newest line by server
+    std::map<std::string, std::string> digests; ///< newest line by digest of a lethal request
     bool isPrinted = false; ///< whether the state has been printed
 };
 
@@ -51,6 +52,10 @@
         if (event == known)
             hostState.newest[std::string(event)] = line;
     }
+    if (event == "lethal_request") {
+        if (const auto digest = findField(line, "digest"))
+            hostState.digests[std::string(*digest)] = line;
+    }
     if (event == "server") {
         if (const auto server = findField(line, "server"))
             hostState.servers[std::string(*server)] = line;
@@ -86,6 +91,10 @@
         found = true;
         printHostState(hostState, out);
         out << "  " << line << '\n';
+        const auto digest = findField(line, "digest");
+        const auto lethal = digest ? hostState.digests.find(std::string(*digest)) : hostState.digests.end();
+        if (lethal != hostState.digests.end())
+            out << "      why such requests are refused: " << lethal->second << '\n';
         const auto server = findField(line, "server");
         const auto entry = server ? hostState.servers.find(std::string(*server)) : hostState.servers.end();
         if (entry != hostState.servers.end())
--- a/src/coordination/gateway/crash_detection.cpp
+++ b/src/coordination/gateway/crash_detection.cpp
@@ -1,5 +1,6 @@
 #include "coordination/gateway/crash_detection.hpp"
 
+#include "coordination/gateway/lethal_requests.hpp"
 #include "coordination/gateway/probing.hpp"
 #include "coordination/gateway/request_log.hpp"
 #include "coordination/gateway/server_load.hpp"
@@ -38,8 +39,7 @@
         self.crashChecks.erase(attempt.server);
 }
 
-bool finishCrashCheck(gateway_node& self, const probe_finished& finished, state::time_point now,
-    random_generator& /*random*/, effect_list& effects)
+bool finishCrashCheck(gateway_node& self, const probe_finished& finished, state::time_point now, effect_list& effects)
 {
     const auto found = self.crashChecks.find(finished.server);
     if (found == self.crashChecks.end() || found->second.probe != finished.id)
@@ -54,6 +54,7 @@
         return true;
     ++self.counters.serverCrashes;
     for (const auto& run : check.runs) {
+        recordCrash(self, finished.server, run, now, effects);
         effects.emplace_back(log_event { log_level::info, "server_crash",
             { { "id", run.callerRequestId }, { "server", finished.server }, { "digest", describeDigest(run.request) },
                 { "ran_ms", fmt::format("{:.1f}", state::toMilliseconds(run.endedAt - run.startedAt)) },
--- a/src/coordination/gateway/crash_detection.hpp
+++ b/src/coordination/gateway/crash_detection.hpp
@@ -13,7 +13,6 @@
 
 /// Handles the result of such a probe.
 /// \return false if it is a probe for a request
-bool finishCrashCheck(gateway_node& self, const probe_finished& finished, state::time_point now,
-    random_generator& random, effect_list& effects);
+bool finishCrashCheck(gateway_node& self, const probe_finished& finished, state::time_point now, effect_list& effects);
 
 } // namespace acaciaslip::coordination::gateway
--- /dev/null
+++ b/src/coordination/gateway/crash_suspects.hpp
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "state/gateway/crash_report.hpp"
+
+#include <cstddef>
+#include <deque>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace acaciaslip::coordination::gateway {
+
+/// Pattern: a query of death. One request ends each server that runs it and comes again at any host. Which of the
+/// requests in hand has ended a server is not known, so each of them is a suspect. A suspect is refused once servers
+/// have ended in three of its runs, one after the other, without a run that was answered in between. Servers that end
+/// together, as when a data centre loses power, count once, and servers that a worse suspect has ended do not count.
+/// A request that was answered earlier is refused only after more crashes, since others may have caused them.
+
+/// Runs, one after the other, that must have ended with their server before a request is refused.
+inline constexpr std::size_t lethalCrashes = 3;
+inline constexpr std::size_t lethalCrashesIfAnswered = 5; ///< likewise, if such a request was answered before
+/// For this long after its last arrival or crash, a suspect is remembered, and refused if it is lethal.
+inline constexpr state::duration suspicionTime = std::chrono::minutes { 10 };
+inline constexpr std::size_t maxSuspects = 256;
+
+struct crash_suspect {
+    state::gateway::crash_report report;
+    std::optional<state::time_point> refusedFrom; ///< fleet time; set while the request is lethal
+    std::uint32_t trials = 0; ///< sends by this host since then, to find out whether it still ends servers
+};
+
+using suspect_table = std::map<state::gateway::request_digest, crash_suspect>;
+
+/// Adds what a report says to what is known, in any order and any number of times.
+/// \param time fleet time; reports from its future are ignored
+/// \return whether anything was new
+bool mergeReport(suspect_table& suspects, const state::gateway::crash_report& report, state::time_point time);
+
+/// Updates which suspects are refused. A suspect that has become lethal is refused from a short time later on, in which
+/// other hosts can object because they have had an answer to such a request.
+/// \return the suspects that have become lethal or have ceased to be
+std::vector<state::gateway::request_digest> updateRefusals(suspect_table& suspects, state::time_point time);
+
+/// Removes what is too old.
+void expireSuspects(suspect_table& suspects, state::time_point time);
+
+/// Whether a suspect may be sent to one server again, to find out whether it still ends servers. One host decides.
+[[nodiscard]] bool isTrialDue(const crash_suspect& suspect, state::time_point time) noexcept;
+
+/// Servers that ended in runs of the request, one after the other, apart from those that a worse suspect has ended.
+[[nodiscard]] std::size_t countCrashes(
+    const suspect_table& suspects, const state::gateway::crash_report& report) noexcept;
+
+/// Digests of the requests that servers have answered lately.
+struct answered_requests {
+    std::deque<std::pair<state::time_point, state::gateway::request_digest>> order; ///< oldest first
+    std::map<state::gateway::request_digest, state::time_point> latest;
+};
+
+/// \param at when the request was answered; not before earlier calls
+void recordAnswered(answered_requests& answered, const state::gateway::request_digest& request, state::time_point at);
+
+/// When a server last answered such a request; empty: not lately.
+[[nodiscard]] std::optional<state::time_point> findAnswered(
+    const answered_requests& answered, const state::gateway::request_digest& request);
+
+} // namespace acaciaslip::coordination::gateway
--- /dev/null
+++ b/src/coordination/gateway/lethal_requests.cpp
@@ -0,0 +1,215 @@
+#include "coordination/gateway/lethal_requests.hpp"
+
+#include "coordination/gateway/fleet_clock.hpp"
+#include "coordination/gateway/membership.hpp"
+#include "coordination/gateway/random_sample.hpp"
+#include "coordination/gateway/request_log.hpp"
+
+#include <algorithm>
+#include <iterator>
+#include <map>
+
+#include <xxhash.h>
+
+namespace acaciaslip::coordination::gateway {
+
+namespace {
+
+using state::gateway::crash_report;
+using state::gateway::peer_ip;
+using state::gateway::request_digest;
+
+constexpr std::size_t keepersPerDataCentre = 2; ///< so that one may be lost
+constexpr std::size_t suspectsPerHeartbeat = 2; ///< keeps it within one datagram
+
+/// The hosts that keep count of a request's crashes, by data centre; this host may be one of them.
+std::map<state::data_centre_id, std::vector<peer_ip>> chooseKeepers(
+    const gateway_node& self, const request_digest& request)
+{
+    std::map<state::data_centre_id, std::vector<std::pair<std::uint64_t, peer_ip>>> ranked;
+    const auto add = [&](const state::data_centre_id& dataCentre, const peer_ip& ip) {
+        ranked[dataCentre].emplace_back(XXH3_64bits_withSeed(ip.data(), ip.size(), request.low), ip);
+    };
+    add(self.settings.dataCentre, self.settings.ip);
+    for (const auto& [ip, peer] : self.peers) {
+        if (!peer.leaving)
+            add(peer.dataCentre, ip);
+    }
+    std::map<state::data_centre_id, std::vector<peer_ip>> keepers;
+    for (auto& [dataCentre, hosts] : ranked) {
+        const auto count = std::min(keepersPerDataCentre, hosts.size());
+        std::partial_sort(hosts.begin(), hosts.begin() + static_cast<std::ptrdiff_t>(count), hosts.end());
+        for (std::size_t index = 0; index < count; ++index)
+            keepers[dataCentre].push_back(hosts[index].second);
+    }
+    return keepers;
+}
+
+void sendReport(
+    gateway_node& self, const peer_ip& ip, const crash_report& report, state::time_point now, effect_list& effects)
+{
+    if (ip == self.settings.ip)
+        return;
+    auto message = makeShortHeartbeat(self, now);
+    message.crashes = { report };
+    effects.emplace_back(send_peer_message { ip, std::move(message) });
+}
+
+void reportToKeepers(gateway_node& self, const request_digest& request, state::time_point now, effect_list& effects)
+{
+    const auto suspect = self.suspects.find(request);
+    if (suspect == self.suspects.end())
+        return;
+    for (const auto& [dataCentre, keepers] : chooseKeepers(self, request)) {
+        for (const auto& ip : keepers)
+            sendReport(self, ip, suspect->second.report, now, effects);
+    }
+}
+
+/// Tells the hosts of the own data centre and the keepers of the others, if this host is a keeper.
+void announce(gateway_node& self, const request_digest& request, state::time_point now, effect_list& effects)
+{
+    const auto keepers = chooseKeepers(self, request);
+    const auto& own = keepers.at(self.settings.dataCentre);
+    if (std::find(own.begin(), own.end(), self.settings.ip) == own.end())
+        return;
+    const auto& report = self.suspects.at(request).report;
+    for (const auto& [ip, peer] : self.peers) {
+        const auto found = keepers.find(peer.dataCentre);
+        const bool isKeeper = found != keepers.end()
+            && std::find(found->second.begin(), found->second.end(), ip) != found->second.end();
+        if (peer.dataCentre == self.settings.dataCentre || isKeeper)
+            sendReport(self, ip, report, now, effects);
+    }
+}
+
+void processChanges(gateway_node& self, state::time_point time, state::time_point now, effect_list& effects)
+{
+    for (const auto& request : updateRefusals(self.suspects, time)) {
+        const auto& suspect = self.suspects.at(request);
+        effects.emplace_back(log_event { log_level::warning, "lethal_request",
+            { { "digest", describeDigest(request) }, { "refused", suspect.refusedFrom ? "yes" : "no" },
+                { "servers", describeEndedServers(self, request) } } });
+        announce(self, request, now, effects);
+    }
+}
+
+/// Adds a report to what is known, and objects if this host has had an answer to such a request since.
+/// \return whether keepers must be told
+bool adoptReport(gateway_node& self, const crash_report& report, state::time_point time, state::time_point now)
+{
+    if (!mergeReport(self.suspects, report, time))
+        return false;
+    const auto before = self.suspects.at(report.request).report;
+    const auto answered = findAnswered(self.answered, report.request);
+    if (!answered)
+        return false;
+    crash_report objection;
+    objection.request = report.request;
+    objection.answeredAt = time - (now - *answered);
+    objection.lastSeenAt = report.lastSeenAt;
+    (void)mergeReport(self.suspects, objection, time);
+    return !before.answeredAt || self.suspects.at(report.request).report.crashes != before.crashes;
+}
+
+} // namespace
+
+void recordCrash(gateway_node& self, const state::host_id& server, const crash_check::run& run, state::time_point now,
+    effect_list& effects)
+{
+    const auto time = fleetTime(self, now);
+    if (!time || run.request == request_digest {})
+        return;
+    crash_report report;
+    report.request = run.request;
+    report.crashes = { { server, *time - (now - run.startedAt), *time - (now - run.endedAt) } };
+    report.lastSeenAt = *time;
+    (void)adoptReport(self, report, *time, now);
+    reportToKeepers(self, run.request, now, effects);
+    processChanges(self, *time, now, effects);
+}
+
+void recordRequestAnswered(
+    gateway_node& self, const request_digest& request, state::time_point now, effect_list& effects)
+{
+    const auto time = fleetTime(self, now);
+    if (!time || request == request_digest {})
+        return;
+    recordAnswered(self.answered, request, now);
+    const auto suspect = self.suspects.find(request);
+    if (suspect == self.suspects.end() || suspect->second.report.crashes.empty())
+        return;
+    crash_report objection;
+    objection.request = request;
+    objection.answeredAt = *time;
+    objection.lastSeenAt = *time;
+    if (mergeReport(self.suspects, objection, *time))
+        reportToKeepers(self, request, now, effects);
+    processChanges(self, *time, now, effects);
+}
+
+void adoptReports(
+    gateway_node& self, const std::vector<crash_report>& reports, state::time_point now, effect_list& effects)
+{
+    const auto time = fleetTime(self, now);
+    if (!time || reports.empty())
+        return;
+    for (const auto& report : reports) {
+        if (adoptReport(self, report, *time, now))
+            reportToKeepers(self, report.request, now, effects);
+    }
+    processChanges(self, *time, now, effects);
+}
+
+std::vector<crash_report> sampleSuspects(const gateway_node& self, random_generator& random)
+{
+    std::vector<crash_report> refused;
+    std::vector<crash_report> others;
+    for (const auto& [request, suspect] : self.suspects)
+        (suspect.refusedFrom ? refused : others).push_back(suspect.report);
+    auto sample = pickRandom(std::move(refused), suspectsPerHeartbeat, random);
+    auto further = pickRandom(std::move(others), suspectsPerHeartbeat - sample.size(), random);
+    std::move(further.begin(), further.end(), std::back_inserter(sample));
+    return sample;
+}
+
+bool isLethal(const gateway_node& self, const request_digest& request, state::time_point now)
+{
+    const auto suspect = self.suspects.find(request);
+    const auto time = fleetTime(self, now);
+    return suspect != self.suspects.end() && time && suspect->second.refusedFrom
+        && *time >= *suspect->second.refusedFrom;
+}
+
+bool recordLethalArrival(gateway_node& self, const request_digest& request, state::time_point now)
+{
+    const auto found = self.suspects.find(request);
+    const auto time = fleetTime(self, now);
+    if (found == self.suspects.end() || !time)
+        return false;
+    auto& suspect = found->second;
+    suspect.report.lastSeenAt = *time;
+    if (!isTrialDue(suspect, *time) || chooseKeepers(self, request).begin()->second.front() != self.settings.ip)
+        return false;
+    ++suspect.trials;
+    return true;
+}
+
+std::string describeEndedServers(const gateway_node& self, const request_digest& request)
+{
+    std::string described;
+    const auto suspect = self.suspects.find(request);
+    if (suspect == self.suspects.end())
+        return described;
+    for (const auto& crash : suspect->second.report.crashes)
+        described += (described.empty() ? "" : ",") + crash.server;
+    return described;
+}
+
+void expireSuspects(gateway_node& self, state::time_point now)
+{
+    if (const auto time = fleetTime(self, now))
+        expireSuspects(self.suspects, *time);
+}
+
+} // namespace acaciaslip::coordination::gateway
--- a/src/coordination/gateway/membership.cpp
+++ b/src/coordination/gateway/membership.cpp
@@ -3,6 +3,7 @@
 #include "coordination/gateway/fleet_clock.hpp"
 #include "coordination/gateway/fleet_relay.hpp"
 #include "coordination/gateway/fleet_view.hpp"
+#include "coordination/gateway/lethal_requests.hpp"
 #include "coordination/gateway/peer_log.hpp"
 #include "coordination/gateway/random_sample.hpp"
 #include "coordination/gateway/server_limit.hpp"
@@ -148,7 +149,7 @@
 
 } // namespace
 
-peer_heartbeat makeHeartbeat(const gateway_node& self, state::time_point now, random_generator& random)
+peer_heartbeat makeShortHeartbeat(const gateway_node& self, state::time_point now)
 {
     peer_heartbeat made;
     made.sender = self.settings.ip;
@@ -159,12 +160,19 @@
     made.storeUnsettled = self.storeLostAt || now < self.storeRecoveringUntil;
     made.asOf = self.published.asOf;
     made.fleetTime = fleetTime(self, now);
+    return made;
+}
+
+peer_heartbeat makeHeartbeat(const gateway_node& self, state::time_point now, random_generator& random)
+{
+    auto made = makeShortHeartbeat(self, now);
     std::vector<state::gateway::known_peer> known;
     for (const auto& [ip, peer] : self.peers) {
         if (!peer.leaving)
             known.push_back({ ip, peer.dataCentre, std::max(now - peer.lastSeenAt, state::duration {}) });
     }
     made.limits = sampleLimits(self, now, random);
+    made.crashes = sampleSuspects(self, random);
     made.peers = pickRecent(pickRandom(std::move(known), candidatesPerHeartbeat, random));
     return made;
 }
@@ -193,6 +201,7 @@
     adoptFleetTime(self, message.fleetTime, now);
     adoptLimits(self, message.limits, now, effects);
     countHosts(self, now);
+    adoptReports(self, message.crashes, now, effects);
     applyRelayedChanges(self, message, now, random, effects);
     if (message.replyRequested)
         effects.emplace_back(send_peer_message { message.sender, makeHeartbeat(self, now, random) });
@@ -205,6 +214,7 @@
     if (now < self.membership.nextGossipAt || self.settings.ip.empty())
         return;
     removeTimedOutPeers(self, now, effects);
+    expireSuspects(self, now);
     countHosts(self, now);
     gossip(self, now, random, effects);
     if (self.published.asOf == 0 || hasNoPeers(self)) {
--- a/src/coordination/gateway/membership.hpp
+++ b/src/coordination/gateway/membership.hpp
@@ -11,6 +11,9 @@
 /// Sends heartbeats that are due, removes peers that have timed out, and counts the remaining hosts.
 void processMembership(gateway_node& self, state::time_point now, random_generator& random, effect_list& effects);
 
+/// Creates a heartbeat with the node's own state only, without what it knows of others.
+[[nodiscard]] state::gateway::peer_heartbeat makeShortHeartbeat(const gateway_node& self, state::time_point now);
+
 /// Creates a heartbeat from the node's current state.
 [[nodiscard]] state::gateway::peer_heartbeat makeHeartbeat(
     const gateway_node& self, state::time_point now, random_generator& random);
--- a/src/coordination/gateway/node.hpp
+++ b/src/coordination/gateway/node.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/forward_declarations.hpp"
+#include "coordination/gateway/crash_suspects.hpp"
 #include "coordination/gateway/effects.hpp"
 #include "coordination/gateway/events.hpp"
 #include "coordination/gateway/request_slots.hpp"
@@ -187,6 +188,8 @@
     std::unordered_map<std::uint64_t, state::gateway::pending_request> requests; ///< by request id
     std::unordered_map<std::uint64_t, state::request_id> probes; ///< by probe id
     std::map<state::host_id, crash_check> crashChecks; ///< by server
+    suspect_table suspects; ///< requests during which servers ended
+    answered_requests answered; ///< times in node time
     std::unordered_map<std::uint64_t, std::pair<state::request_id, state::host_id>> attempts; ///< by attempt id
     std::set<std::pair<state::time_point, std::uint64_t>> due; ///< one entry for every request in progress
     std::uint64_t nextProbe = 1;
--- a/src/coordination/gateway/probing.cpp
+++ b/src/coordination/gateway/probing.cpp
@@ -264,7 +264,7 @@
 {
     ++self.counters.probesByOutcome[finished.outcome];
     recordProbeResult(self, finished, now, effects);
-    if (finishCrashCheck(self, finished, now, random, effects))
+    if (finishCrashCheck(self, finished, now, effects))
         return;
     const auto known = self.probes.find(static_cast<std::uint64_t>(finished.id));
     if (known == self.probes.end())
--- a/src/coordination/gateway/request_end.cpp
+++ b/src/coordination/gateway/request_end.cpp
@@ -1,6 +1,7 @@
 #include "coordination/gateway/request_end.hpp"
 
 #include "coordination/gateway/due_requests.hpp"
+#include "coordination/gateway/lethal_requests.hpp"
 #include "coordination/gateway/request_log.hpp"
 #include "coordination/gateway/retry_after.hpp"
 #include "coordination/gateway/server_load.hpp"
@@ -72,6 +73,10 @@
     auto line = describeEnd(request, state::findName(state::refusalReasonNames, reason), now);
     line.fields.emplace_back(
         "retry_after_ms", std::to_string(static_cast<std::int64_t>(state::toMilliseconds(retryAfter))));
+    if (isLethal(self, request.digest, now)) {
+        line.fields.emplace_back("digest", describeDigest(request.digest));
+        line.fields.emplace_back("ended_servers", describeEndedServers(self, request.digest));
+    }
     effects.emplace_back(std::move(line));
     effects.emplace_back(refuse_caller { request.id, reason, outcome, retryAfter, isLeaving(self) });
     cancelRunning(self, request, effects);
--- a/src/coordination/gateway/request_flow.cpp
+++ b/src/coordination/gateway/request_flow.cpp
@@ -2,6 +2,7 @@
 
 #include "coordination/gateway/crash_detection.hpp"
 #include "coordination/gateway/due_requests.hpp"
+#include "coordination/gateway/lethal_requests.hpp"
 #include "coordination/gateway/probing.hpp"
 #include "coordination/gateway/request_end.hpp"
 #include "coordination/gateway/request_log.hpp"
@@ -26,6 +27,7 @@
 using state::gateway::send_reason;
 
 constexpr int firstServerError = 500;
+constexpr int statusTooManyRequests = 429; ///< the server has not run the request
 /// Most requests take less than this multiple of their service's typical time.
 constexpr int likelyServiceTimes = 2;
 constexpr double serviceTimeWeight = 0.1; ///< weight of one response in a service's typical service time
@@ -184,6 +186,11 @@
     const auto typical = typicalServiceTime(self, request.service, route->objective);
     if (!endsBeforeKill(self, typical * likelyServiceTimes, now))
         return endWithRefusal(self, request, state::refusal_reason::leaving, now, random, effects);
+    if (isLethal(self, request.digest, now)) {
+        request.isTrial = recordLethalArrival(self, request.digest, now);
+        if (!request.isTrial)
+            return endWithRefusal(self, request, state::refusal_reason::ends_servers, now, random, effects);
+    }
     startProbeRound(self, request, send_reason::first_send, now, random, effects);
 }
 
@@ -217,6 +224,9 @@
     inFlight.erase(position);
     effects.emplace_back(describeAttempt(request, attempt, finished, now));
     recordServerBehaviour(self, request, attempt, finished, now);
+    if (finished.outcome == attempt_outcome::answered && finished.status < firstServerError
+        && finished.status != statusTooManyRequests)
+        recordRequestAnswered(self, request.digest, now, effects);
     if (finished.outcome == attempt_outcome::cut)
         checkForCrash(self, request, attempt, now, effects);
     processOutcome(self, request, attempt, finished, now, random, effects);
--- a/src/coordination/gateway/retry_after.cpp
+++ b/src/coordination/gateway/retry_after.cpp
@@ -37,6 +37,8 @@
         return afterLeaving;
     case state::refusal_reason::no_server:
         return self.config ? afterNoServer : afterStarting;
+    case state::refusal_reason::ends_servers:
+        return suspicionTime;
     case state::refusal_reason::back_off:
     case state::refusal_reason::overloaded: {
         const auto known = self.services.find(service);
--- a/src/coordination/gateway/sending.cpp
+++ b/src/coordination/gateway/sending.cpp
@@ -1,6 +1,7 @@
 #include "coordination/gateway/sending.hpp"
 
 #include "coordination/gateway/due_requests.hpp"
+#include "coordination/gateway/lethal_requests.hpp"
 #include "coordination/gateway/request_end.hpp"
 #include "coordination/gateway/request_log.hpp"
 #include "coordination/gateway/retry_after.hpp"
@@ -63,6 +64,13 @@
             return schedule(self, request);
         return endWithRefusal(self, request, state::refusal_reason::overloaded, now, random, effects);
     }
+    if (isLethal(self, request.digest, now) && (!request.isTrial || request.sends > 0)) {
+        if (reason == send_reason::hedge)
+            return schedule(self, request);
+        const auto why
+            = request.mayHaveRun ? state::refusal_reason::broken_answer : state::refusal_reason::ends_servers;
+        return endWithRefusal(self, request, why, now, random, effects);
+    }
     if (!endsBeforeKill(self, estimate.time, now)) {
         if (reason == send_reason::hedge)
             return schedule(self, request);
--- a/src/protocol/gateway_dump.cpp
+++ b/src/protocol/gateway_dump.cpp
@@ -1,5 +1,6 @@
 #include "protocol/gateway_dump.hpp"
 
+#include "coordination/gateway/request_log.hpp"
 #include "coordination/gateway/server_back_off.hpp"
 #include "coordination/gateway/server_health.hpp"
 
@@ -39,6 +40,15 @@
     return described;
 }
 
+json describeSuspect(const coordination::gateway::crash_suspect& suspect)
+{
+    json servers = json::array();
+    for (const auto& crash : suspect.report.crashes)
+        servers.push_back(crash.server);
+    return { { "digest", coordination::gateway::describeDigest(suspect.report.request) }, { "ended_servers", servers },
+        { "refused", suspect.refusedFrom.has_value() } };
+}
+
 json describeRoute(const state::gateway::route& route)
 {
     json parts = json::array();
@@ -64,6 +74,8 @@
         described["store_lost_for_ms"] = milliseconds(now - *node.storeLostAt);
     for (const auto& [id, server] : node.servers)
         described["servers"].push_back(describeServer(server, now));
+    for (const auto& [request, suspect] : node.suspects)
+        described["crash_suspects"].push_back(describeSuspect(suspect));
     if (node.config) {
         for (const auto& route : node.config->routes)
             described["routes"].push_back(describeRoute(route));
--- a/src/protocol/gateway_peer.thrift
+++ b/src/protocol/gateway_peer.thrift
@@ -106,6 +106,21 @@
   3: required i64 saidAt
 }
 
+/** A server that ended while it ran a request. Fleet time. */
+struct server_crash {
+  1: required string server
+  2: required i64 startedAt
+  3: required i64 endedAt
+}
+
+/** A request during which servers ended; the digest is 16 bytes. Fleet time. */
+struct crash_report {
+  1: required binary digest
+  2: required list<server_crash> crashes
+  3: optional i64 answeredAt
+  4: required i64 lastSeenAt
+}
+
 /** One datagram. Its peers refer to their data centre by its index in the list dataCentres. */
 struct peer_heartbeat {
   1: required string sender
@@ -123,4 +138,5 @@
   13: optional list<limit_notice> limits
   /** Seven bytes for each peer, in network byte order: address, index of its data centre, age in tenths of a second. */
   14: optional binary packedPeers
+  15: optional list<crash_report> crashes
 }
--- a/src/protocol/gateway_peer_codec.cpp
+++ b/src/protocol/gateway_peer_codec.cpp
@@ -355,6 +355,38 @@
     return notice;
 }
 
+wire::crash_report toWire(const fleet::crash_report& report)
+{
+    wire::crash_report wireStruct;
+    append(wireStruct.digest, report.request.high);
+    append(wireStruct.digest, report.request.low);
+    for (const auto& crash : report.crashes) {
+        auto& added = wireStruct.crashes.emplace_back();
+        added.server = crash.server;
+        added.startedAt = toMicroseconds(crash.startedAt.time_since_epoch());
+        added.endedAt = toMicroseconds(crash.endedAt.time_since_epoch());
+    }
+    if (report.answeredAt)
+        wireStruct.__set_answeredAt(toMicroseconds(report.answeredAt->time_since_epoch()));
+    wireStruct.lastSeenAt = toMicroseconds(report.lastSeenAt.time_since_epoch());
+    return wireStruct;
+}
+
+fleet::crash_report fromWire(const wire::crash_report& wireStruct)
+{
+    fleet::crash_report report;
+    if (wireStruct.digest.size() != sizeof report.request.high + sizeof report.request.low)
+        throw range_error("digest of another length");
+    report.request = { readNumber<std::uint64_t>(wireStruct.digest, 0),
+        readNumber<std::uint64_t>(wireStruct.digest, sizeof report.request.high) };
+    for (const auto& crash : wireStruct.crashes)
+        report.crashes.push_back({ crash.server, toFleetTime(crash.startedAt), toFleetTime(crash.endedAt) });
+    if (wireStruct.__isset.answeredAt)
+        report.answeredAt = toFleetTime(wireStruct.answeredAt);
+    report.lastSeenAt = toFleetTime(wireStruct.lastSeenAt);
+    return report;
+}
+
 wire::peer_heartbeat toWire(const fleet::peer_heartbeat& heartbeat)
 {
     wire::peer_heartbeat wireStruct;
@@ -373,6 +405,9 @@
     for (const auto& notice : heartbeat.limits)
         wireStruct.limits.push_back(toWire(notice));
     wireStruct.__isset.limits = !heartbeat.limits.empty();
+    for (const auto& report : heartbeat.crashes)
+        wireStruct.crashes.push_back(toWire(report));
+    wireStruct.__isset.crashes = !heartbeat.crashes.empty();
     if (heartbeat.delta)
         wireStruct.__set_delta(toWire(*heartbeat.delta));
     return wireStruct;
@@ -400,6 +435,8 @@
         unpackPeers(wireStruct.packedPeers, wireStruct.dataCentres, heartbeat.peers);
     for (const auto& notice : wireStruct.limits)
         heartbeat.limits.push_back(fromWire(notice));
+    for (const auto& report : wireStruct.crashes)
+        heartbeat.crashes.push_back(fromWire(report));
     if (wireStruct.__isset.delta)
         heartbeat.delta = fromWire(wireStruct.delta);
     return heartbeat;
--- a/src/transport/loop/gateway_metrics.cpp
+++ b/src/transport/loop/gateway_metrics.cpp
@@ -48,6 +48,12 @@
         "acaciaslip_limited_servers", "Servers that name a limit on their requests", static_cast<double>(limited)));
     families.push_back(makeCounter("acaciaslip_server_crashes_total",
         "Servers that ended while they ran requests of this host", node.counters.serverCrashes));
+    const auto lethal = std::count_if(node.suspects.begin(), node.suspects.end(),
+        [](const auto& entry) { return entry.second.refusedFrom.has_value(); });
+    families.push_back(makeGauge("acaciaslip_lethal_requests",
+        "Distinct requests that are refused because they end servers", static_cast<double>(lethal)));
+    families.push_back(makeGauge("acaciaslip_crash_suspects", "Distinct requests during which servers have ended",
+        static_cast<double>(node.suspects.size())));
     const auto backingOff = std::count_if(node.servers.begin(), node.servers.end(),
         [&](const auto& entry) { return coordination::gateway::isBackingOff(entry.second, now); });
     families.push_back(makeGauge("acaciaslip_back_off_servers", "Servers that have asked this host for no requests now",
--- a/src/transport/loop/peer_transport.cpp
+++ b/src/transport/loop/peer_transport.cpp
@@ -44,12 +44,17 @@
 {
     auto message = wanted.message;
     auto datagram = protocol::encodeHeartbeat(message);
+    if (!datagram.ok() && message.delta && !message.crashes.empty()) {
+        message.crashes.clear(); // they are sent again with a later heartbeat
+        datagram = protocol::encodeHeartbeat(message);
+    }
     if (!datagram.ok() && message.delta) {
         message.delta.reset(); // too large for a datagram: the peer fetches it over HTTP
         datagram = protocol::encodeHeartbeat(message);
     }
     if (!datagram.ok() && !message.limits.empty()) {
         message.limits.clear(); // server ids may be long
+        message.crashes.clear();
         datagram = protocol::encodeHeartbeat(message);
     }
     if (!datagram.ok()) {
--- a/tests/coordination/gateway/lethal_request_test.cpp
+++ b/tests/coordination/gateway/lethal_request_test.cpp
@@ -247,6 +247,20 @@
     EXPECT_EQ(m_fleet.countFalselyRefused(), 0U);
 }
 
+/// Guards against an innocent request that stays refused after the requests that ended servers beside it have stopped.
+TEST_P(innocent_request_test, Requests_NoLongerEndServers_OthersAreServedAgain)
+{
+    for (int request = 0; request < 30; ++request) {
+        m_fleet.sendLethal("/lethal" + std::to_string(request), 10s, 1s);
+        m_fleet.run(300ms);
+    }
+    m_fleet.run(10s);
+    m_fleet.outcomes.clear();
+    m_fleet.run(2s);
+    for (const auto& outcome : m_fleet.outcomes)
+        EXPECT_TRUE(outcome.answered);
+}
+
 INSTANTIATE_TEST_SUITE_P(Hosts, innocent_request_test, testing::Values(15, 99));
 INSTANTIATE_TEST_SUITE_P(fleet_size_test, innocent_request_test, testing::Values(312)); // not under sanitizers
 
--- a/tests/protocol/gateway_peer_codec_test.cpp
+++ b/tests/protocol/gateway_peer_codec_test.cpp
@@ -51,6 +51,9 @@
         heartbeat.fleetTime = state::time_point { 700h };
         heartbeat.limits
             = { { "s1", 1.5, state::time_point { 699h } }, { "s2", std::nullopt, state::time_point { 1h } } };
+        heartbeat.crashes
+            = { { { 0xfedcba9876543210, 7 }, { { "s1", state::time_point { 698h }, state::time_point { 699h } } },
+                state::time_point { 2h }, state::time_point { 700h } } };
         heartbeat.peers = { { "10.0.0.1", "dc-b", 1500ms } };
         return heartbeat;
     }
