--- /dev/null
+++ b/tests/coordination/gateway/crash_suspects_test.cpp
@@ -0,0 +1,146 @@
+#include "coordination/gateway/crash_suspects.hpp"
+
+#include <string>
+
+#include <gtest/gtest.h>
+
+namespace acaciaslip::coordination::gateway {
+namespace {
+
+using namespace std::chrono_literals;
+using state::gateway::crash_report;
+using state::gateway::request_digest;
+using state::gateway::server_crash;
+
+class crash_suspects_test : public testing::Test {
+protected:
+    /// Runs of 100 ms, each a second after the one before, on servers of different names.
+    [[nodiscard]] crash_report makeReport(request_digest request, int crashes) const
+    {
+        crash_report report;
+        report.request = request;
+        for (int index = 0; index < crashes; ++index) {
+            const auto endedAt = m_time - 1s * (crashes - index);
+            report.crashes.push_back({ "s" + std::to_string(index), endedAt - 100ms, endedAt });
+        }
+        report.lastSeenAt = m_time;
+        return report;
+    }
+
+    [[nodiscard]] bool isRefused(request_digest request) const
+    {
+        const auto found = m_suspects.find(request);
+        return found != m_suspects.end() && found->second.refusedFrom;
+    }
+
+    void learn(const crash_report& report)
+    {
+        mergeReport(m_suspects, report, m_time);
+        updateRefusals(m_suspects, m_time);
+    }
+
+    state::time_point m_time { 10h };
+    suspect_table m_suspects;
+    const request_digest m_request { 1, 1 };
+    const request_digest m_other { 1, 2 };
+};
+
+TEST_F(crash_suspects_test, Request_ThreeCrashesInSequence_IsRefused)
+{
+    learn(makeReport(m_request, 2));
+    EXPECT_FALSE(isRefused(m_request));
+    learn(makeReport(m_request, 3));
+    EXPECT_TRUE(isRefused(m_request));
+}
+
+TEST_F(crash_suspects_test, Crash_ReportedByTwoHosts_CountsOnce)
+{
+    auto report = makeReport(m_request, 2);
+    learn(report);
+    for (auto& crash : report.crashes)
+        crash.endedAt += 20ms;
+    learn(report);
+    EXPECT_EQ(m_suspects.at(m_request).report.crashes.size(), 2U);
+}
+
+TEST_F(crash_suspects_test, Servers_EndTogether_CountOnce)
+{
+    auto report = makeReport(m_request, 3);
+    for (auto& crash : report.crashes)
+        crash = { crash.server, m_time - 300ms, m_time - 200ms };
+    learn(report);
+    EXPECT_FALSE(isRefused(m_request));
+}
+
+TEST_F(crash_suspects_test, Request_AnsweredSince_IsServedAgain)
+{
+    learn(makeReport(m_request, 3));
+    crash_report answered;
+    answered.request = m_request;
+    answered.answeredAt = m_time;
+    answered.lastSeenAt = m_time;
+    learn(answered);
+    EXPECT_FALSE(isRefused(m_request));
+}
+
+TEST_F(crash_suspects_test, Request_BesideAWorseOne_IsNotRefused)
+{
+    auto report = makeReport(m_other, 4);
+    learn(report);
+    report.request = m_request;
+    report.crashes.pop_back();
+    learn(report);
+    EXPECT_TRUE(isRefused(m_other));
+    EXPECT_FALSE(isRefused(m_request));
+}
+
+TEST_F(crash_suspects_test, Report_FromFutureOrLongAgo_IsIgnored)
+{
+    auto report = makeReport(m_request, 3);
+    report.lastSeenAt = m_time + 1h;
+    learn(report);
+    report.lastSeenAt = m_time - 1h;
+    learn(report);
+    EXPECT_TRUE(m_suspects.empty());
+}
+
+TEST_F(crash_suspects_test, Suspects_AreBoundedInNumberAndTime)
+{
+    learn(makeReport(m_request, 3));
+    for (std::uint64_t index = 0; index < 2 * maxSuspects; ++index)
+        learn(makeReport({ 2, index }, 1));
+    EXPECT_EQ(m_suspects.size(), maxSuspects);
+    EXPECT_TRUE(isRefused(m_request)) << "others are evicted first";
+    expireSuspects(m_suspects, m_time + suspicionTime + 1s);
+    EXPECT_TRUE(m_suspects.empty());
+}
+
+/// Each trial may end a server, so there are few.
+TEST_F(crash_suspects_test, RefusedRequest_InSuspicionTime_HasTwoTrials)
+{
+    learn(makeReport(m_request, 3));
+    auto& suspect = m_suspects.at(m_request);
+    int trials = 0;
+    for (auto time = m_time; time < m_time + suspicionTime; time += 1s) {
+        if (isTrialDue(suspect, time)) {
+            ++suspect.trials;
+            ++trials;
+        }
+    }
+    EXPECT_EQ(trials, 2);
+}
+
+TEST_F(crash_suspects_test, AnsweredRequests_AreBoundedInNumberAndTime)
+{
+    answered_requests answered;
+    for (std::uint64_t index = 0; index < 10000; ++index)
+        recordAnswered(answered, { 1, index }, m_time);
+    EXPECT_LE(answered.latest.size(), 2048U);
+    EXPECT_EQ(findAnswered(answered, { 1, 9999 }), m_time);
+    recordAnswered(answered, m_request, m_time + suspicionTime + 1s);
+    EXPECT_EQ(answered.latest.size(), 1U);
+    EXPECT_FALSE(findAnswered(answered, { 1, 9999 }));
+}
+
+} // namespace
+} // namespace acaciaslip::coordination::gateway
--- a/tests/protocol/server_http_messages_test.cpp
+++ b/tests/protocol/server_http_messages_test.cpp
@@ -1,5 +1,9 @@
+#include "protocol/request_digest.hpp"
 #include "protocol/server_http_messages.hpp"
 
+#include <functional>
+#include <vector>
+
 #include <gtest/gtest.h>
 
 namespace acaciaslip::protocol {
@@ -106,6 +110,34 @@
         EXPECT_EQ(read(503, text).statement, header_statement::unreadable) << text;
 }
 
+/// What changes when a request comes again must not change its digest; what a server sees of it must.
+TEST_F(server_http_messages_test, Request_ComesAgain_DigestIsEqualOnlyForTheSameWork)
+{
+    http::message request;
+    request.method = "GET";
+    request.target = "/a?b=1";
+    request.headers = { { "Host", "shop.example" }, { "Acaciaslip-Request", "1" }, { "Request-Timeout-Ms", "9" } };
+    const auto digest = computeDigest(request);
+    auto again = request;
+    again.headers[1].value = "2";
+    again.headers[2].value = "5";
+    again.headers.push_back({ "Connection", "close" });
+    EXPECT_EQ(computeDigest(again), digest);
+    for (const auto& change : std::vector<std::function<void(http::message&)>> {
+             [](auto& other) { other.method = "PUT"; }, [](auto& other) { other.target = "/a?b=2"; },
+             [](auto& other) { other.body = "x"; }, [](auto& other) { other.headers[0].value = "b.example"; },
+             [](auto& other) {
+                 other.headers.push_back({ "authorization", "Bearer 1" });
+             },
+             [](auto& other) {
+                 other.headers.push_back({ "Cookie", "a=1" });
+             } }) {
+        auto other = request;
+        change(other);
+        EXPECT_NE(computeDigest(other), digest);
+    }
+}
+
 /// Guards against a time that overflows when it is converted to nanoseconds: found by the fuzz program, the cold period
 /// was negative. A caller's deadline is read by the same function.
 TEST_F(server_http_messages_test, Milliseconds_OfAnySize_AreWithinADay)
--- a/tests/transport/loop/gateway_daemon_test.cpp
+++ b/tests/transport/loop/gateway_daemon_test.cpp
@@ -106,6 +106,35 @@
     EXPECT_TRUE(runUntil([&] { return dump->received.find("\"path_prefix\":\"/\"") != std::string::npos; }));
 }
 
+/// Guards against a Retry-After that is read but not kept to, on real connections.
+TEST_F(gateway_daemon_test, Server_AsksForPause_NextCallerIsRefusedAtOnceAndServerReceivesNothing)
+{
+    publish();
+    int received = 0;
+    m_server.onReceived = [&received](test_connection& end) {
+        if (end.received.find("\r\n\r\n") == std::string::npos)
+            return;
+        ++received;
+        const bool isProbe = end.received.starts_with("GET /health");
+        end.received.clear();
+        end.stream->write(isProbe ? "HTTP/1.1 200 OK\r\nAcaciaslip-Server: s1\r\nContent-Length: 0\r\n\r\n"
+                                  : "HTTP/1.1 503 X\r\nAcaciaslip-Request: r1\r\nAcaciaslip-Not-Run: 1\r\n"
+                                    "Retry-After: 4.5\r\nContent-Length: 0\r\n\r\n");
+    };
+    const std::string request = "GET /a HTTP/1.1\r\nHost: x\r\nAcaciaslip-Request: r1\r\n\r\n";
+    for (int caller = 0; caller < 3; ++caller) {
+        const auto refused = connectAndSend(m_daemon.callersPort(), request);
+        ASSERT_TRUE(runUntil([&] { return refused->received.ends_with("\r\n\r\n"); }));
+        EXPECT_TRUE(refused->received.starts_with("HTTP/1.1 503 "));
+        const auto header = refused->received.find("Retry-After: ");
+        ASSERT_NE(header, std::string::npos);
+        EXPECT_GT(std::stod(refused->received.substr(header + std::string_view("Retry-After: ").size())), 4);
+    }
+    EXPECT_EQ(received, 2) << "one probe and one request";
+    const auto dump = connectAndSend(m_daemon.operatorsPort(), "GET /dump HTTP/1.1\r\n\r\n");
+    EXPECT_TRUE(runUntil([&] { return dump->received.find("\"back_off_for_ms\":4") != std::string::npos; }));
+}
+
 /// The limit of a server is read from its answer to a request, on a real connection.
 TEST_F(gateway_daemon_test, Server_NamesLimit_MetricAndDumpShowIt)
 {
