Refuse callers at once while all servers of a service are down

What was seen: when a request had ended all servers of a service, its callers waited for three rounds of probes and were told to return after about 0.25 s. Cause: a refused connection counted like silence. Change: if probes have just shown that nothing listens at any server's address, callers are refused in the first round; Retry-After is as long as the outage has lasted, from 0.25 to 5 s, with a spread.

--- a/src/coordination/gateway/probing.cpp
+++ b/src/coordination/gateway/probing.cpp
@@ -13,6 +13,7 @@
 #include "coordination/gateway/server_health.hpp"
 #include "coordination/gateway/server_limit.hpp"
 #include "coordination/gateway/server_load.hpp"
+#include "coordination/gateway/service_outage.hpp"
 
 #include <algorithm>
 
@@ -57,8 +58,8 @@
     candidate best;
     for (const auto& id : request.round->answered) {
         const auto* server = findServer(self, id);
-        if (server == nullptr || !isEligible(*server, now) || !isAdmitted(self, *server, now)
-            || contains(request.tried, id))
+        if (server == nullptr || !isEligible(*server, now)
+            || !isAdmitted(self, *server, now) || contains(request.tried, id))
             continue;
         const auto estimate = estimateCompletion(*server, typical, now);
         if (best.server == nullptr || estimate.time < best.estimate.time)
@@ -134,9 +135,11 @@
         return waitOrRefuse(self, request, "limited", *turn, state::refusal_reason::overloaded, now, random, effects);
     if (const auto pause = timeUntilBackOffEnds(self, request.service, now))
         return waitOrRefuse(self, request, "back_off", *pause, state::refusal_reason::back_off, now, random, effects);
-    effects.emplace_back(describeProbePause(request, noServer ? "nobody_to_ask" : "no_answer", {}, now));
+    const auto outage = outageTime(self, request.service, now);
+    const auto* const why = noServer ? "nobody_to_ask" : outage ? "all_down" : "no_answer";
+    effects.emplace_back(describeProbePause(request, why, {}, now));
     request.round.reset();
-    if (noServer || request.rounds >= maxUnansweredRounds)
+    if (noServer || outage || request.rounds >= maxUnansweredRounds)
         return endWithRefusal(self, request, state::refusal_reason::no_server, now, random, effects);
     request.probeAgainAt = now + minPause;
     schedule(self, request);
@@ -215,6 +218,15 @@
     resolveRound(self, request, best, now, random, effects);
 }
 
+void recordDown(state::gateway::server_state& server, probe_outcome outcome, state::time_point now)
+{
+    recordUnreachable(server, now);
+    if (outcome != probe_outcome::refused)
+        server.downSince.reset();
+    else if (!server.downSince)
+        server.downSince = now;
+}
+
 void recordProbeResult(gateway_node& self, const probe_finished& finished, state::time_point now, effect_list& effects)
 {
     auto* const server = findServer(self, finished.server);
@@ -222,7 +234,7 @@
         return;
     if (finished.outcome == probe_outcome::no_answer || finished.outcome == probe_outcome::refused
         || finished.outcome == probe_outcome::other_server)
-        return recordUnreachable(*server, now);
+        return recordDown(*server, finished.outcome, now);
     recordReachable(*server);
     server->coldUntil = now + finished.coldRemaining;
     if (finished.report)
--- a/src/coordination/gateway/retry_after.cpp
+++ b/src/coordination/gateway/retry_after.cpp
@@ -1,6 +1,9 @@
 #include "coordination/gateway/retry_after.hpp"
 
 #include "coordination/gateway/server_back_off.hpp"
+#include "coordination/gateway/service_outage.hpp"
+
+#include <algorithm>
 
 namespace acaciaslip::coordination::gateway {
 
@@ -10,6 +13,7 @@
 constexpr state::duration afterLeaving = std::chrono::milliseconds { 10 };
 constexpr state::duration afterStarting = std::chrono::milliseconds { 200 }; ///< until the configuration has been read
 constexpr state::duration afterNoServer = std::chrono::milliseconds { 250 }; ///< until servers are available again
+constexpr state::duration maxAfterOutage = std::chrono::seconds { 5 }; ///< in which a server starts again
 constexpr state::duration afterOverload = std::chrono::milliseconds { 100 }; ///< until a running request finishes
 /// Share of the typical service time: by then half of the slots have been freed.
 constexpr double overloadServiceTimeShare = 0.5;
@@ -61,6 +65,9 @@
         || reason == state::refusal_reason::back_off;
     if (const auto earliest = needsServer ? timeUntilBackOffEnds(self, service, now) : std::nullopt)
         return addSpread(*earliest, random);
+    // Nothing tells when a server that is down starts again. The longer it has been down, the longer it may still take.
+    if (const auto outage = needsServer ? outageTime(self, service, now) : std::nullopt)
+        return addSpread(std::clamp<state::duration>(*outage, afterNoServer, maxAfterOutage), random);
     const auto base = findBase(self, service, reason);
     return base > state::duration::zero() ? addJitter(base, random) : base;
 }
--- a/src/coordination/gateway/server_health.cpp
+++ b/src/coordination/gateway/server_health.cpp
@@ -54,6 +54,7 @@
 {
     server.consecutiveFailures = 0;
     server.ejectedUntil.reset();
+    server.downSince.reset();
 }
 
 double currentSlowdown(const state::gateway::server_state& server, state::time_point now) noexcept
