Send nothing to servers that say that they leave while others can serve

Cause: nothing read the header; only the store's word counted. Change: from the first such answer to a request or a probe on, the host uses the server only if no other can run the request, for half of the drain time of the settings, and then not at all. A new start of the server ends it. Dump, metrics and log show it.

--- a/src/coordination/gateway/events.hpp
+++ b/src/coordination/gateway/events.hpp
@@ -59,6 +59,7 @@
     state::duration coldRemaining {};
     state::gateway::limit_report limit;
     state::gateway::back_off_report backOff;
+    bool leaving = false; ///< the server says that it is shutting down
 };
 
 /// An attempt to run a request on a server has finished.
@@ -69,6 +70,7 @@
     std::optional<state::gateway::load_report> report; ///< its time is set by the node
     state::gateway::limit_report limit;
     state::gateway::back_off_report backOff;
+    bool leaving = false; ///< the server says that it is shutting down
 };
 
 /// Source of an update of the published fleet.
--- a/src/coordination/gateway/probe_targets.cpp
+++ b/src/coordination/gateway/probe_targets.cpp
@@ -1,6 +1,7 @@
 #include "coordination/gateway/probe_targets.hpp"
 
 #include "coordination/gateway/cold_admission.hpp"
+#include "coordination/gateway/leaving_servers.hpp"
 #include "coordination/gateway/server_back_off.hpp"
 #include "coordination/gateway/server_health.hpp"
 #include "coordination/gateway/server_limit.hpp"
@@ -95,7 +96,8 @@
 
 bool isEligible(const state::gateway::server_state& server, state::time_point now) noexcept
 {
-    return !server.entry.draining && !server.evacuated && (!server.removeAt || now < *server.removeAt);
+    return !server.entry.draining && !server.evacuated && (!server.removeAt || now < *server.removeAt)
+        && (!server.leavingUntil || now < *server.leavingUntil);
 }
 
 bool isAdmitted(const gateway_node& self, const state::gateway::server_state& server, state::time_point now) noexcept
@@ -135,8 +137,11 @@
     const auto service = self.services.find(request.service);
     if (service == self.services.end())
         return {};
+    const bool skipsLeaving = hasStayingServer(self, request, now);
     for (const auto& id : service->second.members) {
         const auto& server = self.servers.at(id);
+        if (skipsLeaving && server.leavingUntil)
+            continue;
         const bool probed = request.round && contains(request.round->probed, id);
         if (probed || contains(request.tried, id) || !isEligible(server, now) || !isAdmitted(self, server, now))
             continue;
--- a/src/coordination/gateway/probing.cpp
+++ b/src/coordination/gateway/probing.cpp
@@ -4,6 +4,7 @@
 #include "coordination/gateway/completion_estimate.hpp"
 #include "coordination/gateway/crash_detection.hpp"
 #include "coordination/gateway/due_requests.hpp"
+#include "coordination/gateway/leaving_servers.hpp"
 #include "coordination/gateway/probe_targets.hpp"
 #include "coordination/gateway/request_end.hpp"
 #include "coordination/gateway/request_log.hpp"
@@ -55,10 +56,11 @@
 candidate findBest(gateway_node& self, const pending_request& request, state::time_point now)
 {
     const auto typical = typicalServiceTime(self, request.service, request.matched->objective);
+    const bool skipsLeaving = hasStayingServer(self, request, now);
     candidate best;
     for (const auto& id : request.round->answered) {
         const auto* server = findServer(self, id);
-        if (server == nullptr || !isEligible(*server, now)
+        if (server == nullptr || (skipsLeaving && server->leavingUntil) || !isEligible(*server, now)
             || !isAdmitted(self, *server, now) || contains(request.tried, id))
             continue;
         const auto estimate = estimateCompletion(*server, typical, now);
@@ -236,6 +238,8 @@
         || finished.outcome == probe_outcome::other_server)
         return recordDown(*server, finished.outcome, now);
     recordReachable(*server);
+    if (finished.leaving)
+        recordLeaving(self, finished.server, "probe", now, effects);
     server->coldUntil = now + finished.coldRemaining;
     if (finished.report)
         recordLoadReport(self, finished.server, *finished.report, now);
--- a/src/coordination/gateway/request_flow.cpp
+++ b/src/coordination/gateway/request_flow.cpp
@@ -2,6 +2,7 @@
 
 #include "coordination/gateway/crash_detection.hpp"
 #include "coordination/gateway/due_requests.hpp"
+#include "coordination/gateway/leaving_servers.hpp"
 #include "coordination/gateway/lethal_requests.hpp"
 #include "coordination/gateway/probing.hpp"
 #include "coordination/gateway/request_end.hpp"
@@ -216,6 +217,8 @@
         recordLoadReport(self, server, *finished.report, now);
     recordAnswerLimit(self, server, finished, now, effects);
     recordBackOff(self, server, finished.backOff, "answer", now, effects);
+    if (finished.leaving)
+        recordLeaving(self, server, "answer", now, effects);
     auto& request = self.requests.at(static_cast<std::uint64_t>(requestId));
     auto& inFlight = request.attemptsInFlight;
     const auto position
--- a/src/coordination/gateway/settings.hpp
+++ b/src/coordination/gateway/settings.hpp
@@ -14,6 +14,7 @@
     double retryRatio = 0.2; ///< retries per request, over `retryWindow`
     state::duration retryWindow = std::chrono::seconds { 10 };
     double minRetries = 50; ///< retries per `retryWindow` in addition to the ratio, over all hosts
+    state::duration drain = std::chrono::seconds { 2 }; ///< for which a server serves after it says that it leaves
     state::duration shutdownGrace = std::chrono::seconds { 6 }; ///< time between SIGTERM and SIGKILL
     state::duration configApply = std::chrono::seconds { 2 }; ///< from a change in the store to its effect on all hosts
     /// Time from the end of a disturbance of a host until it must be up to date again.
--- a/src/platform/host_settings.cpp
+++ b/src/platform/host_settings.cpp
@@ -112,6 +112,7 @@
     fields.parseUnsigned("terms.bounds.retry-ratio", bounds.retryRatio);
     fields.readDuration("terms.bounds.retry-window", bounds.retryWindow);
     fields.parseUnsigned("terms.bounds.retry-slack", bounds.minRetries);
+    fields.readDuration("terms.bounds.drain", bounds.drain);
     fields.readDuration("terms.bounds.grace", bounds.shutdownGrace);
     fields.readDuration("terms.bounds.config-apply", bounds.configApply);
     fields.readDuration("terms.bounds.stable-window", bounds.stableWindow);
--- a/src/platform/http_format.cpp
+++ b/src/platform/http_format.cpp
@@ -46,6 +46,7 @@
     format.names.load = "X-Acaciaslip-Backend-Load";
     format.names.signature = "X-Acaciaslip-Response-Seal";
     format.names.serverId = "X-Acaciaslip-Instance-Id";
+    format.names.leaving = "Server-Leaving";
     format.names.requestLimit = "Server-Limit";
     format.names.coldRemaining = "X-Acaciaslip-Cold-Ms";
     format.requireSignatureOnSuccess = true;
--- a/src/protocol/gateway_dump.cpp
+++ b/src/protocol/gateway_dump.cpp
@@ -29,6 +29,8 @@
         described["avoided_for_ms"] = milliseconds(*server.ejectedUntil - now);
     if (coordination::gateway::isBackingOff(server, now))
         described["back_off_for_ms"] = milliseconds(*server.backOffUntil - now);
+    if (server.leavingUntil)
+        described["leaving"] = true;
     if (server.limitPerSecond)
         described["limit_per_second"] = *server.limitPerSecond;
     if (server.removeAt)
--- a/src/protocol/server_http_messages.cpp
+++ b/src/protocol/server_http_messages.cpp
@@ -62,6 +62,11 @@
         std::chrono::duration_cast<state::duration>(std::chrono::duration<double> { *seconds }) };
 }
 
+bool readLeaving(const server_http_format& format, const http::message& answer)
+{
+    return answer.status != statusMisdirected && findHeader(answer, format.names.leaving) == std::string_view("1");
+}
+
 /// Whether a server says that it has not run the request.
 bool isRefusal(const server_http_format& format, const http::message& answer)
 {
@@ -109,6 +114,7 @@
     finished.report = parseLoad(format, answer);
     finished.limit = readLimit(format, answer);
     finished.backOff = readBackOff(answer);
+    finished.leaving = readLeaving(format, answer);
     if (const auto cold = findHeader(answer, format.names.coldRemaining))
         finished.coldRemaining = http::parseMilliseconds(*cold).value_or(state::duration::zero());
     return finished;
@@ -121,6 +127,7 @@
     finished.report = parseLoad(format, answer);
     finished.limit = readLimit(format, answer);
     finished.backOff = readBackOff(answer);
+    finished.leaving = readLeaving(format, answer);
     const bool success = answer.status >= statusOk && answer.status < firstNonSuccessStatus;
     const bool isSigned = findHeader(answer, format.names.signature).has_value();
     const bool hasId = findHeader(answer, format.names.requestId).has_value();
--- a/src/protocol/server_http_messages.hpp
+++ b/src/protocol/server_http_messages.hpp
@@ -22,6 +22,7 @@
     std::string serverId = "Acaciaslip-Server";
     std::string requestLimit
         = "Acaciaslip-Limit"; ///< requests per second that the server takes from all hosts together
+    std::string leaving = "Acaciaslip-Leaving"; ///< set by a server that is shutting down
     std::string coldRemaining = "Acaciaslip-Cold-Ms"; ///< remaining cold period of the server, in milliseconds
 };
 
--- a/src/state/gateway/server_state.hpp
+++ b/src/state/gateway/server_state.hpp
@@ -60,6 +60,9 @@
     std::optional<time_point> limitSaidAt;
     std::optional<time_point> limitEndedAt; ///< fleet time; set while other hosts may still know a limit that has ended
     std::optional<time_point> lastSendAt; ///< when this node last sent it a request
+    /// Set once the server has said that it is shutting down: from then on it is used only if there is no other, and
+    /// from this time on not at all.
+    std::optional<time_point> leavingUntil;
     std::optional<time_point> downSince; ///< nothing listens at its address, as far as this node knows
     std::optional<time_point> backOffUntil; ///< the server has asked this host to send it nothing until then
 
--- a/src/transport/loop/gateway_metrics.cpp
+++ b/src/transport/loop/gateway_metrics.cpp
@@ -54,6 +54,10 @@
         "Distinct requests that are refused because they end servers", static_cast<double>(lethal)));
     families.push_back(makeGauge("acaciaslip_crash_suspects", "Distinct requests during which servers have ended",
         static_cast<double>(node.suspects.size())));
+    const auto leaving = std::count_if(node.servers.begin(), node.servers.end(),
+        [](const auto& entry) { return entry.second.leavingUntil.has_value(); });
+    families.push_back(makeGauge(
+        "acaciaslip_leaving_servers", "Servers that say that they are shutting down", static_cast<double>(leaving)));
     const auto backingOff = std::count_if(node.servers.begin(), node.servers.end(),
         [&](const auto& entry) { return coordination::gateway::isBackingOff(entry.second, now); });
     families.push_back(makeGauge("acaciaslip_back_off_servers", "Servers that have asked this host for no requests now",
--- a/tests/platform/host_settings_test.cpp
+++ b/tests/platform/host_settings_test.cpp
@@ -56,6 +56,7 @@
     EXPECT_EQ(settings->storeAddress, "10.200.1.7:8642");
     EXPECT_EQ(settings->limits.minRetries, 58);
     EXPECT_EQ(settings->limits.shutdownGrace, 6s);
+    EXPECT_EQ(settings->limits.drain, 2s);
     EXPECT_EQ(settings->limits.configApply, 2500ms);
     EXPECT_EQ(settings->limits.stableWindow, 4s);
 }
--- a/tests/protocol/server_http_messages_test.cpp
+++ b/tests/protocol/server_http_messages_test.cpp
@@ -110,6 +110,22 @@
         EXPECT_EQ(read(503, text).statement, header_statement::unreadable) << text;
 }
 
+TEST_F(server_http_messages_test, Server_SaysItLeaves_ReadFromAnswersAndProbes)
+{
+    EXPECT_FALSE(readAttemptAnswer(m_format, m_answer).leaving);
+    m_answer.headers.push_back({ "acaciaslip-leaving", "1" });
+    for (const auto status : { 200, 500, 503 }) {
+        m_answer.status = status;
+        EXPECT_TRUE(readAttemptAnswer(m_format, m_answer).leaving) << status;
+        EXPECT_TRUE(readProbeAnswer(m_format, m_answer, "s7").leaving) << status;
+    }
+    m_answer.status = 421;
+    EXPECT_FALSE(readAttemptAnswer(m_format, m_answer).leaving) << "another server has answered";
+    m_answer.status = 200;
+    m_answer.headers.back().value = "0";
+    EXPECT_FALSE(readAttemptAnswer(m_format, m_answer).leaving);
+}
+
 /// What changes when a request comes again must not change its digest; what a server sees of it must.
 TEST_F(server_http_messages_test, Request_ComesAgain_DigestIsEqualOnlyForTheSameWork)
 {
