--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,5 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target
-g++ -std=c++20 -O2 -Wall -Wextra -pthread review/standins/main.cpp -o target/review_standin
+g++ -std=c++20 -O2 -Wall -Wextra -pthread review/standins/main.cpp -o target/review_standin.new
+mv target/review_standin.new target/review_standin
