--- a/review/deployment.sh
+++ b/review/deployment.sh
@@ -14,7 +14,7 @@
 end_case() {
     trap - EXIT
     local pid
-    for pid in "${pids[@]}"; do kill -KILL "$pid" 2>/dev/null; done
+    for pid in "${pids[@]}" $(jobs -p); do kill -KILL "$pid" 2>/dev/null; done
     wait 2>/dev/null
     rm -rf "$work"
     exit "$1"
