--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Plays the case "unframed-while-pipelining" with gateways as processes on loopback addresses.
+# Plays the case "stop-while-pipelining" with gateways as processes on loopback addresses.
 # Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run. With TROUBLE=0 there is no
 # disruption.
 set -uo pipefail
@@ -15,7 +15,7 @@
 trap 'rm -rf "$work"' EXIT
 cd "$root" || exit 2
 # The gateways end with the program that starts them.
-timeout --kill-after=2 115 "$cases" unframed-while-pipelining "$gateway" "$work" "$case/record.txt" "${TROUBLE:-1}"
+timeout --kill-after=2 115 "$cases" stop-while-pipelining "$gateway" "$work" "$case/record.txt" "${TROUBLE:-1}"
 status=$?
 [ "$status" -le 2 ] || status=2
 exit "$status"
