Relay every number that is read from the store

The store's reader accepts 32-bit unsigned numbers, the peer messages carried them as signed ones, and the decoder rejects a message with a negative number together with everything else in it. Logs of these hosts: "event=fetch outcome=unreadable" ten times a second.

Change: unsigned numbers are sent with their bits unchanged; small ones have the same encoding as before. Entries whose address is unusable, or whose names exceed 1 KiB, are passed over like other malformed ones: 32 entries of 1 MiB would exceed what one host may send another. The fuzzer checks that whatever is read from the store can be relayed.

Tests, which failed before: gateway_peer_codec_test.Delta_WithLargestNumbers_IsEqual, Heartbeat_WithLargestNumbers_IsEqual, item_reader_test.Entry_LargestNumbers_ReachesPeers, Entry_AddressUnusable_IsRejected, Entry_NameVeryLong_IsRejected.

--- a/fuzz/targets.cpp
+++ b/fuzz/targets.cpp
@@ -85,6 +85,14 @@
     require(!probed.report || probed.report->slowdown > 0, "a slowdown is positive");
 }
 
+void requireRelayable(const state::gateway::published_fleet& fleet)
+{
+    state::gateway::fleet_delta delta;
+    delta.changes = fleet;
+    const auto bytes = protocol::encodeDelta(delta);
+    require(bytes.ok() && protocol::decodeDelta(*bytes).ok(), "what a host reads from the store reaches its peers");
+}
+
 void readStoreItems(const std::string& input, pcg32& /*random*/)
 {
     for (const auto* field : { "items", "events" }) {
@@ -95,6 +103,7 @@
         state::gateway::published_fleet fleet;
         for (const auto& item : read->items)
             (void)platform::addItem(item, fleet);
+        requireRelayable(fleet);
     }
 }
 
@@ -113,8 +122,14 @@
 
 void readStoreValues(const std::string& input, pcg32& /*random*/)
 {
-    (void)platform::readServerEntry("i-1", input);
+    const auto entry = platform::readServerEntry("i-1", input);
     const auto config = platform::readConfiguration(input);
+    state::gateway::published_fleet fleet;
+    if (entry.ok())
+        fleet.servers["i-1"] = { 1, *entry };
+    if (config.ok())
+        fleet.config = { 1, *config };
+    requireRelayable(fleet);
     for (const auto& route : config.ok() ? config->routes : std::vector<state::gateway::route> {})
         require(!route.split.empty(), "a route has a service");
     if (config.ok())
--- a/src/platform/item_reader.cpp
+++ b/src/platform/item_reader.cpp
@@ -3,6 +3,7 @@
 #include "platform/json_field.hpp"
 #include "platform/json_text.hpp"
 #include "platform/team_reader.hpp"
+#include "transport/loop/tcp_stream.hpp"
 
 #include <algorithm>
 
@@ -28,6 +29,7 @@
 constexpr std::string_view configurationKey = "op/config";
 constexpr std::string_view evacuationPrefix = "op/evacuate/";
 constexpr int hexadecimal = 16;
+constexpr std::size_t maxNameBytes = 1024; ///< of the texts of an entry, since every host keeps and relays them
 
 bool draining(const json& status)
 {
@@ -37,14 +39,31 @@
     return state == "draining";
 }
 
+std::string name(const json& from, const char* field)
+{
+    auto read = text(from, field);
+    if (read.size() > maxNameBytes)
+        throw field_error { field };
+    return read;
+}
+
+std::string address(const json& from)
+{
+    constexpr const char* field = "address";
+    auto read = text(from, field);
+    if (!transport::loop::parseAddress(read).ok())
+        throw field_error { field };
+    return read;
+}
+
 server_entry readEntry(const std::string& id, const json& from)
 {
     server_entry entry;
     entry.id = id;
-    entry.address = text(from, "address");
+    entry.address = address(from);
     const auto& info = at(from, "info");
-    entry.service = text(info, "service");
-    entry.dataCentre = text(info, "zone");
+    entry.service = name(info, "service");
+    entry.dataCentre = name(info, "zone");
     entry.slots = number<std::uint32_t>(info, "max-concurrency");
     const auto& status = at(from, "status");
     entry.draining = draining(status);
@@ -132,8 +151,7 @@
     try {
         return read();
     } catch (const field_error& error) {
-        return absl::InvalidArgumentError(
-            fmt::format("{}: field '{}' is missing or has the wrong type", what, error.field));
+        return absl::InvalidArgumentError(fmt::format("{}: field '{}' is missing or malformed", what, error.field));
     } catch (const team_error& error) {
         return absl::InvalidArgumentError(fmt::format("{}: {}", what, error.problem));
     } catch (const json::parse_error& error) {
@@ -277,8 +295,7 @@
         }
         return absl::OkStatus();
     } catch (const field_error& error) {
-        return absl::InvalidArgumentError(
-            fmt::format("store item: field '{}' is missing or has the wrong type", error.field));
+        return absl::InvalidArgumentError(fmt::format("store item: field '{}' is missing or malformed", error.field));
     }
 }
 
--- a/src/protocol/gateway_peer_codec.cpp
+++ b/src/protocol/gateway_peer_codec.cpp
@@ -42,6 +42,18 @@
     return static_cast<Number>(number);
 }
 
+/// Thrift has no unsigned integers: a number is sent as the signed one with the same bits, so that every value of the
+/// platform's settings arrives unchanged.
+std::int32_t toSigned(std::uint32_t number) noexcept
+{
+    return std::bit_cast<std::int32_t>(number);
+}
+
+std::uint32_t toUnsigned(std::int32_t number) noexcept
+{
+    return std::bit_cast<std::uint32_t>(number);
+}
+
 state::duration toDuration(std::int64_t microseconds)
 {
     constexpr std::int64_t maxMicroseconds = 1'000'000'000'000; // keeps sums of durations within the range of the clock
@@ -67,12 +79,12 @@
     wireStruct.kind = static_cast<std::int32_t>(route.kind);
     wireStruct.objective = toMicroseconds(route.objective);
     wireStruct.timeout = toMicroseconds(route.timeout);
-    wireStruct.attempts = static_cast<std::int32_t>(route.attempts);
-    wireStruct.priority = static_cast<std::int32_t>(route.priority);
+    wireStruct.attempts = toSigned(route.attempts);
+    wireStruct.priority = toSigned(route.priority);
     for (const auto& part : route.split) {
         auto& added = wireStruct.split.emplace_back();
         added.serviceName = part.service;
-        added.weight = static_cast<std::int32_t>(part.weight);
+        added.weight = toSigned(part.weight);
     }
     if (route.anonymous)
         wireStruct.__set_anonymous(true);
@@ -90,10 +102,10 @@
         : fleet::request_kind::non_idempotent;
     route.objective = toDuration(wireStruct.objective);
     route.timeout = toDuration(wireStruct.timeout);
-    route.attempts = checked<std::uint32_t>(wireStruct.attempts);
-    route.priority = checked<std::uint32_t>(wireStruct.priority);
+    route.attempts = toUnsigned(wireStruct.attempts);
+    route.priority = toUnsigned(wireStruct.priority);
     for (const auto& part : wireStruct.split)
-        route.split.push_back({ part.serviceName, checked<std::uint32_t>(part.weight) });
+        route.split.push_back({ part.serviceName, toUnsigned(part.weight) });
     if (route.split.empty())
         throw range_error("route has no service");
     route.anonymous = wireStruct.__isset.anonymous && wireStruct.anonymous;
@@ -139,7 +151,7 @@
     wire::service_description wireStruct;
     wireStruct.name = service.name;
     wireStruct.healthPath = service.healthPath;
-    wireStruct.maxConnections = static_cast<std::int32_t>(service.maxConnections);
+    wireStruct.maxConnections = toSigned(service.maxConnections);
     wireStruct.coldStart = toMicroseconds(service.coldStart);
     wireStruct.coldRequestsPerSecond = service.coldRequestsPerSecond;
     return wireStruct;
@@ -167,7 +179,7 @@
     std::vector<fleet::service> services;
     services.reserve(wireStructs.size());
     for (const auto& service : wireStructs)
-        services.push_back({ service.name, service.healthPath, checked<std::uint32_t>(service.maxConnections),
+        services.push_back({ service.name, service.healthPath, toUnsigned(service.maxConnections),
             toDuration(service.coldStart), service.coldRequestsPerSecond });
     return services;
 }
@@ -244,7 +256,7 @@
     entry.serviceName = item.value->service;
     entry.address = item.value->address;
     entry.dataCentre = item.value->dataCentre;
-    entry.slots = static_cast<std::int32_t>(item.value->slots);
+    entry.slots = toSigned(item.value->slots);
     entry.draining = item.value->draining;
     entry.coldLeft = toMicroseconds(item.value->coldRemaining);
     entry.startedAtUnixMs = item.value->startedAtUnixMs;
@@ -258,8 +270,8 @@
     if (!wireStruct.__isset.entry)
         return item;
     const auto& entry = wireStruct.entry;
-    item.value = { wireStruct.id, entry.serviceName, entry.address, entry.dataCentre,
-        checked<std::uint32_t>(entry.slots), entry.draining, toDuration(entry.coldLeft), entry.startedAtUnixMs };
+    item.value = { wireStruct.id, entry.serviceName, entry.address, entry.dataCentre, toUnsigned(entry.slots),
+        entry.draining, toDuration(entry.coldLeft), entry.startedAtUnixMs };
     return item;
 }
 
@@ -459,7 +471,7 @@
 {
     wire::class_demand wireStruct;
     wireStruct.serviceName = demand.service;
-    wireStruct.priority = static_cast<std::int32_t>(demand.priority);
+    wireStruct.priority = toSigned(demand.priority);
     wireStruct.objective = toMicroseconds(demand.objective);
     wireStruct.perSecond = demand.perSecond;
     wireStruct.work = toMicroseconds(demand.work);
@@ -470,7 +482,7 @@
 {
     if (!std::isfinite(wireStruct.perSecond) || wireStruct.perSecond < 0 || wireStruct.work < 0)
         throw range_error("demand out of range");
-    return { wireStruct.serviceName, checked<std::uint32_t>(wireStruct.priority), toDuration(wireStruct.objective),
+    return { wireStruct.serviceName, toUnsigned(wireStruct.priority), toDuration(wireStruct.objective),
         wireStruct.perSecond, toDuration(wireStruct.work) };
 }
 
@@ -490,8 +502,8 @@
     wireStruct.team = std::bit_cast<std::int64_t>(report.team);
     wireStruct.admitted = static_cast<std::int64_t>(report.admitted);
     wireStruct.refused = static_cast<std::int64_t>(report.refused);
-    wireStruct.newlyAdmitted = static_cast<std::int32_t>(report.newlyAdmitted);
-    wireStruct.newlyRefused = static_cast<std::int32_t>(report.newlyRefused);
+    wireStruct.newlyAdmitted = toSigned(report.newlyAdmitted);
+    wireStruct.newlyRefused = toSigned(report.newlyRefused);
     if (report.keeper) {
         wireStruct.__set_level(report.keeper->level);
         wireStruct.__set_demand(report.keeper->demand);
@@ -506,8 +518,8 @@
     report.team = std::bit_cast<std::uint64_t>(wireStruct.team);
     report.admitted = checked<std::uint64_t>(wireStruct.admitted);
     report.refused = checked<std::uint64_t>(wireStruct.refused);
-    report.newlyAdmitted = checked<std::uint32_t>(wireStruct.newlyAdmitted);
-    report.newlyRefused = checked<std::uint32_t>(wireStruct.newlyRefused);
+    report.newlyAdmitted = toUnsigned(wireStruct.newlyAdmitted);
+    report.newlyRefused = toUnsigned(wireStruct.newlyRefused);
     if (wireStruct.__isset.level && wireStruct.__isset.demand && wireStruct.__isset.knownFor)
         report.keeper = { checkedAmount(wireStruct.level, -maxAmount), checkedAmount(wireStruct.demand, 0),
             toDuration(wireStruct.knownFor) };
--- a/tests/platform/item_reader_test.cpp
+++ b/tests/platform/item_reader_test.cpp
@@ -1,5 +1,8 @@
 #include "platform/item_reader.hpp"
 
+#include "protocol/gateway_peer_codec.hpp"
+
+#include <limits>
 #include <random>
 
 #include <absl/strings/escaping.h>
@@ -73,6 +76,51 @@
     }
 }
 
+/// Guards against an entry that the hosts which read the store accept, but cannot relay to the others.
+TEST_F(item_reader_test, Entry_LargestNumbers_ReachesPeers)
+{
+    auto text = json::parse(entryText);
+    text["info"]["max-concurrency"] = std::numeric_limits<std::uint32_t>::max();
+    text["status"]["cold-left"] = "1000000s";
+    text["born"] = std::numeric_limits<std::int64_t>::max();
+    ASSERT_TRUE(addItem(makeItem("servers/i-1", text.dump()), m_fleet).ok());
+    state::gateway::fleet_delta delta;
+    delta.changes = m_fleet;
+    const auto received = protocol::decodeDelta(protocol::encodeDelta(delta).value());
+    ASSERT_TRUE(received.ok()) << received.status();
+    EXPECT_EQ(received->changes.servers, m_fleet.servers);
+}
+
+TEST_F(item_reader_test, Entry_NumberBeyondItsRange_IsRejected)
+{
+    for (const auto* number : { "4294967296", "1e999", "-1", "0" }) {
+        std::string text = entryText;
+        text.replace(text.find(":4}") + 1, 1, number);
+        EXPECT_FALSE(readServerEntry("i-1", text).ok()) << number;
+    }
+}
+
+/// Guards against an entry to which no connection is possible, and which is probed without end.
+TEST_F(item_reader_test, Entry_AddressUnusable_IsRejected)
+{
+    for (const auto* address :
+        { "10.128.0.9", "10.128.0.9:70000", "10.128.0.9:0", "10.128.0.9:-1", "host:80", ":80" }) {
+        auto text = json::parse(entryText);
+        text["address"] = address;
+        EXPECT_FALSE(readServerEntry("i-1", text.dump()).ok()) << address;
+    }
+}
+
+/// Guards against entries that are too large together for what one host sends another.
+TEST_F(item_reader_test, Entry_NameVeryLong_IsRejected)
+{
+    for (const auto* field : { "service", "zone" }) {
+        auto text = json::parse(entryText);
+        text["info"][field] = std::string(1025, 'x');
+        EXPECT_FALSE(readServerEntry("i-1", text.dump()).ok()) << field;
+    }
+}
+
 TEST_F(item_reader_test, Entry_StateUnknown_IsRejected)
 {
     auto text = json::parse(entryText);
--- a/tests/protocol/gateway_peer_codec_test.cpp
+++ b/tests/protocol/gateway_peer_codec_test.cpp
@@ -79,6 +79,36 @@
     EXPECT_EQ(*read, makeDelta());
 }
 
+/// Guards against a number that a host reads from the platform and its peers then reject with all else in the message.
+TEST_F(gateway_peer_codec_test, Delta_WithLargestNumbers_IsEqual)
+{
+    constexpr auto largest = std::numeric_limits<std::uint32_t>::max();
+    auto delta = makeDelta();
+    delta.changes.servers["s1"].value->slots = largest;
+    auto& route = delta.changes.config.value->routes[0];
+    route.attempts = largest;
+    route.priority = largest;
+    route.split[0].weight = largest;
+    delta.changes.config.value->services[0].maxConnections = largest;
+    delta.configChanges->routes = { route };
+    delta.configChanges->services = delta.changes.config.value->services;
+    const auto decoded = decodeDelta(encodeDelta(delta).value());
+    ASSERT_TRUE(decoded.ok()) << decoded.status();
+    EXPECT_EQ(*decoded, delta);
+}
+
+/// Guards against a heartbeat that is rejected whole because of the largest priority of a route.
+TEST_F(gateway_peer_codec_test, Heartbeat_WithLargestNumbers_IsEqual)
+{
+    constexpr auto largest = std::numeric_limits<std::uint32_t>::max();
+    auto heartbeat = makeHeartbeat();
+    heartbeat.classDemand = { { "a", largest, 250ms, 1.5, 100ms } };
+    heartbeat.allowanceReports = { { 7, 500, 40, largest, largest, std::nullopt } };
+    const auto decoded = decodeHeartbeat(encodeHeartbeat(heartbeat).value());
+    ASSERT_TRUE(decoded.ok()) << decoded.status();
+    EXPECT_EQ(*decoded, heartbeat);
+}
+
 /// Guards against a part of a team that is lost between hosts, such as a priority of 0.
 TEST_F(gateway_peer_codec_test, Delta_WithTeams_IsEqual)
 {
