Read the store when peers' answers stay unreadable

A host that cannot decode what its peers relay learned nothing any more, for as long as another host of its data centre was known to watch the store, and fetched the same answer ten times a second. Any difference between versions of the peer messages would have the same effect.

Change: after 0.3 s of unreadable answers a host counts as without a watcher and searches the store like one whose data centre has none. It stops when an answer is readable again, or 60 s after the last unreadable one. Further fetches are one second apart.

--- a/src/coordination/gateway/fleet_relay.cpp
+++ b/src/coordination/gateway/fleet_relay.cpp
@@ -17,6 +17,13 @@
 /// Delay of the next fetch after one that a peer refused, that left this host behind another peer, or that was not the
 /// first to get no answer.
 constexpr state::duration nextFetchDelay = std::chrono::milliseconds { 100 };
+/// Hosts of other versions may encode what this one cannot decode. It then reads the store itself, early enough for a
+/// change to take effect in time.
+constexpr state::duration unreadablePatience = std::chrono::milliseconds { 300 };
+/// Delay of the next fetch once answers stay unreadable; a link may be thin, and the answer large.
+constexpr state::duration unreadableFetchDelay = std::chrono::seconds { 1 };
+/// Time after the latest unreadable answer until the host relies on its peers again.
+constexpr state::duration unreadableMemory = std::chrono::seconds { 60 };
 constexpr std::uint32_t maxRedirections = 12; ///< of one fetch, so that hosts cannot redirect it forever
 constexpr std::uint64_t loggedFetchBytes = 16384;
 constexpr state::duration loggedFetchTime = std::chrono::milliseconds { 100 };
@@ -55,6 +62,17 @@
             { "revision", std::to_string(self.published.asOf) } } });
 }
 
+void recordReadability(fetch_state& fetch, fetch_outcome outcome, state::time_point now)
+{
+    if (outcome == fetch_outcome::received)
+        fetch.unreadableSince.reset();
+    if (outcome != fetch_outcome::unreadable)
+        return;
+    if (!fetch.unreadableSince || now - fetch.lastUnreadableAt >= unreadableMemory)
+        fetch.unreadableSince = now;
+    fetch.lastUnreadableAt = now;
+}
+
 void startFetch(gateway_node& self, const state::gateway::peer_ip& source, state::time_point now, effect_list& effects)
 {
     self.fetch.source = source;
@@ -66,6 +84,12 @@
 
 } // namespace
 
+bool isRelayUnreadable(const gateway_node& self, state::time_point now) noexcept
+{
+    const auto& since = self.fetch.unreadableSince;
+    return since && now - *since >= unreadablePatience && now - self.fetch.lastUnreadableAt < unreadableMemory;
+}
+
 void handleFleetUpdate(gateway_node& self, const fleet_update_received& published, state::time_point now,
     random_generator& random, effect_list& effects)
 {
@@ -99,6 +123,7 @@
     ++self.counters.fetchesByOutcome[finished.outcome];
     self.counters.fetchedBytes += finished.bytes;
     logFetch(self, finished, now, effects);
+    recordReadability(self.fetch, finished.outcome, now);
     const auto source = std::exchange(self.fetch.source, {});
     self.fetch.fetchAt.reset();
     const bool follows = finished.outcome == fetch_outcome::redirected && self.peers.contains(finished.next)
@@ -117,7 +142,8 @@
     // Another host is asked at once, but only after the first failure: hosts that are dead refuse connections at once,
     // so that asking them in turn would be a loop.
     const bool atOnce = finished.outcome == fetch_outcome::no_answer && firstFailure && *next != source;
-    self.fetch.fetchAt = atOnce ? now : now + nextFetchDelay;
+    const auto delay = isRelayUnreadable(self, now) ? unreadableFetchDelay : nextFetchDelay;
+    self.fetch.fetchAt = atOnce ? now : now + delay;
 }
 
 void processFetches(gateway_node& self, state::time_point now, effect_list& effects)
--- a/src/coordination/gateway/node.hpp
+++ b/src/coordination/gateway/node.hpp
@@ -115,6 +115,8 @@
     std::uint32_t redirections = 0; ///< of the fetch in progress
     bool needsWhole = false; ///< changes of the configuration could not be applied
     state::gateway::peer_ip failedSource; ///< peer of the latest fetch if it brought nothing
+    std::optional<state::time_point> unreadableSince; ///< start of a series of answers that could not be decoded
+    state::time_point lastUnreadableAt; ///< the latest of them
 };
 
 /// Requests whose connections to one server broke off, until it is known whether the server has ended; see
--- a/src/coordination/gateway/store_watch.cpp
+++ b/src/coordination/gateway/store_watch.cpp
@@ -1,5 +1,6 @@
 #include "coordination/gateway/store_watch.hpp"
 
+#include "coordination/gateway/fleet_relay.hpp"
 #include "coordination/gateway/fleet_view.hpp"
 #include "coordination/gateway/membership.hpp"
 #include "coordination/gateway/store_news.hpp"
@@ -50,6 +51,12 @@
         [&](const auto& entry) { return isWatcher(self, entry.second, access, now); }));
 }
 
+/// Whether a watcher of the own data centre reaches the store, and this host can decode what its peers relay.
+bool hasUsableWatcher(const gateway_node& self, state::time_point now)
+{
+    return countWatchers(self, store_access::answers, now) > 0 && !isRelayUnreadable(self, now);
+}
+
 /// Whether this host is one of those that keep trying. It must not depend on reports of others that try: the searches
 /// of all hosts may fail at the same moment.
 bool mayKeepTrying(const gateway_node& self)
@@ -64,7 +71,7 @@
 /// Whether this host's watch is redundant. A watcher that cannot reach the store is redundant beside any that can.
 bool isCoveredByOthers(const gateway_node& self, state::time_point now)
 {
-    if (self.published.asOf == 0)
+    if (self.published.asOf == 0 || isRelayUnreadable(self, now))
         return false;
     if (self.storeWatch.answered)
         return countBefore(self, store_access::answers, now) > 0;
@@ -136,7 +143,7 @@
 /// Calls the store, unless another host has reached it since the search was scheduled.
 void startSearch(gateway_node& self, state::time_point now, effect_list& effects)
 {
-    if (countWatchers(self, store_access::answers, now) > 0)
+    if (hasUsableWatcher(self, now))
         return self.storeWatch.searchAt.reset();
     ++self.counters.storeSearches;
     self.storeWatch.searching = true;
@@ -155,10 +162,10 @@
         searchSpread * (std::log1p(position * (hosts + 1)) / std::log1p(hosts + 1)));
 }
 
-/// Schedules a search while no watcher of the data centre can reach the store.
+/// Schedules a search while no watcher of the data centre is of use to this host.
 void planSearch(gateway_node& self, state::time_point now, random_generator& random)
 {
-    if (countWatchers(self, store_access::answers, now) > 0)
+    if (hasUsableWatcher(self, now))
         self.storeWatch.searchAt.reset();
     else if (!self.storeWatch.searchAt)
         self.storeWatch.searchAt = now + searchDelay(self, random);
