Answer all requests in progress before a connection closes

Change: a connection that is to end reads no further requests, answers those in progress and closes after the last one. Only that answer carries "Connection: close", since callers take requests behind such an answer as not read. The connection tells the encoder whether another answer follows. Only an answer that ends with its connection still drops what is behind it. serve, which had the same fault in its stop, is changed with it.

--- a/src/protocol/node_http_messages.cpp
+++ b/src/protocol/node_http_messages.cpp
@@ -228,7 +228,7 @@
     http::appendHeader(written, "Acaciaslip-Server", answered.server);
     http::appendHeader(written, attemptsHeader, std::to_string(answered.attempts));
     appendLength(written, answer, form.isHeadRequest);
-    finishHead(written, form.keepAlive && !answered.closeConnection);
+    finishHead(written, form.keepAlive);
     if (!form.isHeadRequest)
         written.append(answer.body);
     return written;
@@ -240,8 +240,7 @@
     auto written = writeRefusalStart(status, refused.outcome, refused.attempts);
     if (refused.outcome == state::verdict::not_run && status == statusUnavailable)
         appendRetryAfter(written, refused.retryAfter);
-    return finishRefusal(std::move(written), state::findName(state::refusalReasonNames, refused.reason),
-        { form.isHeadRequest, form.keepAlive && !refused.closeConnection });
+    return finishRefusal(std::move(written), state::findName(state::refusalReasonNames, refused.reason), form);
 }
 
 std::string writeEarlyRefusal(int status, std::string_view reason, bool isHeadRequest)
--- a/src/protocol/node_http_messages.hpp
+++ b/src/protocol/node_http_messages.hpp
@@ -47,10 +47,10 @@
 /// Writes the request that cancels an attempt whose result is no longer needed.
 [[nodiscard]] std::string writeCancel(std::string_view address, std::string_view attemptId);
 
-/// Properties of the caller's request that determine how a response is written.
+/// Properties of the caller's request and connection that determine how a response is written.
 struct answer_options {
     bool isHeadRequest = false; ///< the request's method was HEAD: no body is sent
-    bool keepAlive = true;
+    bool keepAlive = true; ///< another response may follow on the connection
 };
 
 /// Writes a server's response to the caller, with the verdict header added.
--- a/src/transport/loop/caller_connection.cpp
+++ b/src/transport/loop/caller_connection.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 #include <utility>
 
 namespace acaciaslip::transport::loop {
@@ -125,7 +126,7 @@
     auto request = m_parser.takeMessage();
     const auto id = m_callbacks.nextRequestId();
     m_requestStartedAt.reset();
-    m_exchanges.push_back({ id, std::nullopt, !request.keepAlive, request.isHttp11, {} });
+    m_exchanges.push_back({ id, std::nullopt, false, request.isHttp11, {} });
     m_stoppedReading |= !request.keepAlive;
     m_callbacks.requestReceived(id, std::move(request)); // may call answer() before returning
 }
@@ -182,16 +183,19 @@
     finish();
 }
 
-void caller_connection::answer(state::request_id id, std::string bytes, bool close, std::shared_ptr<const void> held)
+void caller_connection::answer(state::request_id id, const answer_writer& write, connection_persistence persistence,
+    std::shared_ptr<const void> held)
 {
     const auto found
         = std::find_if(m_exchanges.begin(), m_exchanges.end(), [&](const exchange& known) { return known.id == id; });
     if (found == m_exchanges.end() || m_closed)
         return;
     const auto self = shared_from_this();
-    found->answer = std::move(bytes);
+    m_stoppedReading |= persistence != connection_persistence::keep_alive;
+    const bool isLast = m_stoppedReading && std::next(found) == m_exchanges.end();
+    found->closes = isLast || persistence == connection_persistence::ends_answer;
+    found->answer = write(!found->closes);
     found->held = std::move(held);
-    found->closes |= close;
     flush();
 }
 
@@ -207,6 +211,9 @@
         if (closes)
             return finish();
     }
+    // The last answer may have been encoded before reading stopped, so that it does not announce the end.
+    if (m_exchanges.empty() && m_stoppedReading)
+        return finish();
     const bool idle = m_exchanges.empty() && !m_parser.hasPartialMessage() && m_unparsed.empty();
     if (idle && (m_halfClosed || m_closeAfterIdle == state::duration::zero()))
         return finish();
--- a/src/transport/loop/caller_connection.hpp
+++ b/src/transport/loop/caller_connection.hpp
@@ -38,6 +38,20 @@
     std::function<std::string(int status, std::string_view reason)> makeRefusal;
 };
 
+/// What becomes of a connection after an answer.
+enum class connection_persistence {
+    keep_alive,
+    /// No further requests are read, and the connection is closed once those in progress are answered. Only the last of
+    /// the answers announces it, since a caller treats requests behind an answer that closes as not read.
+    close_after_requests,
+    /// The end of the connection is what ends the answer. Requests behind it are dropped.
+    ends_answer,
+};
+
+/// Encodes an answer.
+/// \param keepAlive whether another answer may follow it on the connection
+using answer_writer = std::function<std::string(bool keepAlive)>;
+
 /// A caller's connection. Supports HTTP pipelining: reads further requests while earlier ones are in progress and sends
 /// the answers in the order of the requests.
 class caller_connection : public std::enable_shared_from_this<caller_connection> {
@@ -47,10 +61,11 @@
         uv_stream_t* listener, connection_limits limits, caller_connection_callbacks callbacks);
 
     /// Sends the answer to a request, after the answers to earlier requests.
-    /// \param bytes the complete encoded answer
-    /// \param close whether to close the connection after this answer without reading further requests
+    /// \param write encodes the answer; called once, before this function returns
+    /// \param persistence what becomes of the connection
     /// \param held kept until the answer has been written; see `tcp_stream::write`
-    void answer(state::request_id id, std::string bytes, bool close, std::shared_ptr<const void> held = {});
+    void answer(state::request_id id, const answer_writer& write, connection_persistence persistence,
+        std::shared_ptr<const void> held = {});
 
     /// Counts the requests from now on against a budget. One that does not fit is refused with status 503.
     void useBudget(std::shared_ptr<coordination::memory_budget> budget) { m_parser.useBudget(std::move(budget)); }
@@ -78,7 +93,7 @@
     struct exchange {
         state::request_id id {};
         std::optional<std::string> answer;
-        bool closes = false; ///< close after this answer, as requested by the caller or by this process
+        bool closes = false; ///< the connection is closed after this answer, which announces it
         bool isHttp11 = true;
         std::shared_ptr<const void> held; ///< kept until the answer has been written
     };
--- a/src/transport/loop/caller_server.cpp
+++ b/src/transport/loop/caller_server.cpp
@@ -103,8 +103,13 @@
     const auto* request = findRequest(effect.id);
     if (request == nullptr)
         return;
-    const bool close = effect.closeConnection || !request->keepAlive || answer.closeDelimited;
-    finish(effect.id, protocol::writeCallerAnswer(answer, request->method == "HEAD", !close), close, answer.memory);
+    const bool isHeadRequest = request->method == "HEAD";
+    const auto persistence = answer.closeDelimited ? connection_persistence::ends_answer
+        : effect.closeConnection                   ? connection_persistence::close_after_requests
+                                                   : connection_persistence::keep_alive;
+    finish(
+        effect.id, [&](bool keepAlive) { return protocol::writeCallerAnswer(answer, isHeadRequest, keepAlive); },
+        persistence, answer.memory);
 }
 
 void caller_server::refuse(const coordination::gateway::refuse_caller& effect)
@@ -112,7 +117,7 @@
     const auto* request = findRequest(effect.id);
     if (request == nullptr)
         return;
-    const bool close = effect.closeConnection || !request->keepAlive;
+    const bool isHeadRequest = request->method == "HEAD";
     protocol::http::message refusal;
     refusal.status = statusFor(effect);
     refusal.reason = protocol::http::reasonPhrase(refusal.status);
@@ -121,16 +126,19 @@
     if (effect.retryAfter > state::duration::zero())
         refusal.headers.push_back(
             { "Retry-After", fmt::format("{:.3f}", std::chrono::duration<double>(effect.retryAfter).count()) });
-    finish(effect.id, protocol::writeCallerAnswer(refusal, request->method == "HEAD", !close), close);
+    finish(
+        effect.id, [&](bool keepAlive) { return protocol::writeCallerAnswer(refusal, isHeadRequest, keepAlive); },
+        effect.closeConnection ? connection_persistence::close_after_requests : connection_persistence::keep_alive);
 }
 
-void caller_server::finish(state::request_id id, std::string bytes, bool close, std::shared_ptr<const void> held)
+void caller_server::finish(state::request_id id, const answer_writer& write, connection_persistence persistence,
+    std::shared_ptr<const void> held)
 {
     const auto found = m_requests.find(static_cast<std::uint64_t>(id));
     const auto connection = found->second.connection.lock();
     m_requests.erase(found);
     if (connection)
-        connection->answer(id, std::move(bytes), close, std::move(held));
+        connection->answer(id, write, persistence, std::move(held));
 }
 
 void caller_server::drain()
--- a/src/transport/loop/caller_server.hpp
+++ b/src/transport/loop/caller_server.hpp
@@ -54,7 +54,8 @@
 
     void handleRequest(
         state::request_id id, const std::shared_ptr<caller_connection>& from, protocol::http::message request);
-    void finish(state::request_id id, std::string bytes, bool close, std::shared_ptr<const void> held = {});
+    void finish(state::request_id id, const answer_writer& write, connection_persistence persistence,
+        std::shared_ptr<const void> held = {});
 
     const protocol::server_http_format& m_format;
     event_sink m_sink;
--- a/src/transport/loop/http_service.cpp
+++ b/src/transport/loop/http_service.cpp
@@ -26,20 +26,22 @@
     m_listener.setLimits(makeServiceLimits());
 }
 
-http_service::reply::reply(
-    http_service& owner, state::request_id id, const std::shared_ptr<caller_connection>& to, bool keepAlive)
+http_service::reply::reply(http_service& owner, state::request_id id, const std::shared_ptr<caller_connection>& to)
     : m_owner(&owner)
     , m_id(id)
     , m_connection(to)
-    , m_keepAlive(keepAlive)
 {
 }
 
 void http_service::reply::operator()(const service_answer& answer) const
 {
     if (const auto connection = m_connection.lock())
-        connection->answer(m_id,
-            protocol::http::writeAnswer(answer.status, answer.contentType, answer.body, m_keepAlive), !m_keepAlive);
+        connection->answer(
+            m_id,
+            [&](bool keepAlive) {
+                return protocol::http::writeAnswer(answer.status, answer.contentType, answer.body, keepAlive);
+            },
+            connection_persistence::keep_alive);
 }
 
 void http_service::reply::whenClosed(std::function<void(bool isComplete)> closed) const
@@ -53,7 +55,7 @@
 void http_service::handleRequest(
     state::request_id id, const std::shared_ptr<caller_connection>& from, const protocol::http::message& request)
 {
-    m_answer(request, reply { *this, id, from, request.keepAlive });
+    m_answer(request, reply { *this, id, from });
 }
 
 void http_service::handleClosed(const caller_connection& connection)
--- a/src/transport/loop/http_service.hpp
+++ b/src/transport/loop/http_service.hpp
@@ -25,7 +25,7 @@
     class reply {
     public:
         reply() = default;
-        reply(http_service& owner, state::request_id id, const std::shared_ptr<caller_connection>& to, bool keepAlive);
+        reply(http_service& owner, state::request_id id, const std::shared_ptr<caller_connection>& to);
 
         void operator()(const service_answer& answer) const;
 
@@ -37,7 +37,6 @@
         http_service* m_owner = nullptr;
         state::request_id m_id {};
         std::weak_ptr<caller_connection> m_connection;
-        bool m_keepAlive = false;
     };
     using handler = std::function<void(const protocol::http::message&, const reply&)>;
 
--- a/src/transport/loop/node_caller_server.cpp
+++ b/src/transport/loop/node_caller_server.cpp
@@ -44,10 +44,15 @@
 void node_caller_server::handleRequest(
     state::request_id id, const std::shared_ptr<caller_connection>& from, protocol::http::message request)
 {
-    const protocol::answer_options form { request.method == "HEAD", request.keepAlive };
+    const bool isHeadRequest = request.method == "HEAD";
     if (const auto fault = protocol::validateRequest(request))
-        return from->answer(id, protocol::writeEarlyRefusal(fault->status, fault->reason, form.isHeadRequest), true);
-    m_pending[id] = { from, form };
+        return from->answer(
+            id,
+            [&](bool /*keepAlive*/) {
+                return protocol::writeEarlyRefusal(fault->status, fault->reason, isHeadRequest);
+            },
+            connection_persistence::close_after_requests);
+    m_pending[id] = { from, isHeadRequest };
     m_events(protocol::makeRequestArrived(id, std::move(request)));
 }
 
@@ -69,11 +74,16 @@
     const auto found = m_pending.find(id);
     if (found == m_pending.end())
         return;
-    auto [weak, form] = std::move(found->second);
+    const auto ended = std::move(found->second);
     m_pending.erase(found);
-    form.keepAlive &= !close && m_stage == stop_stage::none;
-    if (const auto connection = weak.lock())
-        connection->answer(id, write(form), !form.keepAlive);
+    const bool closes = close || m_stage != stop_stage::none;
+    if (const auto connection = ended.connection.lock())
+        connection->answer(
+            id,
+            [&](bool keepAlive) {
+                return write({ ended.isHeadRequest, keepAlive });
+            },
+            closes ? connection_persistence::close_after_requests : connection_persistence::keep_alive);
 }
 
 void node_caller_server::stop(std::function<void()> stopped)
--- a/src/transport/loop/node_caller_server.hpp
+++ b/src/transport/loop/node_caller_server.hpp
@@ -62,7 +62,7 @@
 
     struct pending_request {
         std::weak_ptr<caller_connection> connection;
-        protocol::answer_options form;
+        bool isHeadRequest = false;
     };
 
     void handleRequest(
--- a/tests/transport/loop/node_caller_server_test.cpp
+++ b/tests/transport/loop/node_caller_server_test.cpp
@@ -438,6 +438,25 @@
     EXPECT_EQ(openConnections(), 0U);
 }
 
+/// Guards against a planned stop that drops requests at which servers are at work.
+TEST_F(node_caller_server_test, Stop_WithPipelinedRequests_AllAreAnsweredAndLastAnnouncesClose)
+{
+    m_holdAnswers = true;
+    auto caller = connect();
+    caller.send(std::string(lookup) + lookup);
+    ASSERT_TRUE(waitUntil([&] { return arrivals() == 2; }));
+    m_closeConnection = true;
+    answer(arrival(0));
+    std::thread stopping([&] { stopServer(); });
+    answer(arrival(1));
+    const auto text = caller.readToEnd();
+    stopping.join();
+    const auto first = text.find("answer to GET /routes ;");
+    ASSERT_NE(first, std::string::npos) << text;
+    EXPECT_NE(text.find("answer to GET /routes ;", first + 1), std::string::npos) << text;
+    EXPECT_GT(text.find("Connection: close"), first) << text;
+}
+
 /// Bytes that form no valid request: each connection is answered or closed, and the server goes on serving.
 TEST_F(node_caller_server_test, RandomBytes_ManyConnections_ServerKeepsServing)
 {
