Report a reset as such, not as the end of the stream

Cause: a server answered a long upload at once with a 200 without a length, sent part of the body and reset the connection; the caller got that part as a complete answer. After a read that does not fill its buffer libuv reports the end of the stream as soon as the connection has hung up, without the read that would return the reset. It happens whenever the last bytes and the reset are found in one turn of the loop: often after a pause of the process, rarely otherwise, and for requests without a body too. A body without a length is complete at the end of the stream.

Change: at the end of a stream the socket is asked for its error. A reset that came before the peer's end of stream, and one whose error a failed write has already taken, fail the stream. One that came after it does not: the answer was complete. All connections use this, also those of callers, of peers and of serve.

--- a/src/transport/loop/tcp_stream.cpp
+++ b/src/transport/loop/tcp_stream.cpp
@@ -130,11 +130,31 @@
 }
 
 bool tcp_stream::isClosedOrReset() const
+{
+    return m_closed || connectionState().value_or(TCP_CLOSE) == TCP_CLOSE;
+}
+
+std::optional<int> tcp_stream::connectionState() const
 {
     tcp_info info {};
     socklen_t size = sizeof info;
-    return m_closed || ::getsockopt(descriptor(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0
-        || info.tcpi_state == TCP_CLOSE;
+    if (::getsockopt(descriptor(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0)
+        return std::nullopt;
+    return info.tcpi_state;
+}
+
+int tcp_stream::findReset() const
+{
+    int error = 0;
+    socklen_t size = sizeof error;
+    if (::getsockopt(descriptor(), SOL_SOCKET, SO_ERROR, &error, &size) != 0)
+        return 0;
+    if (error == EPIPE)
+        return 0; // the reset followed the peer's end of stream
+    if (error != 0)
+        return uv_translate_sys_error(error);
+    // A write that failed has already taken the error from the socket.
+    return connectionState() == TCP_CLOSE ? UV_ECONNRESET : 0;
 }
 
 bool tcp_stream::hasPendingInput() const
@@ -171,7 +191,7 @@
             if (self->m_closed || count == 0)
                 return;
             if (count == UV_EOF)
-                return self->m_callbacks.endOfStream();
+                return self->handleEnd();
             if (count < 0)
                 return self->fail(static_cast<int>(count));
             self->m_callbacks.received({ buffer->base, static_cast<std::size_t>(count) });
@@ -215,6 +235,16 @@
     }
 }
 
+/// libuv also reports an end of stream when a read has returned the last bytes of a connection that has been reset
+/// since.
+void tcp_stream::handleEnd()
+{
+    const int reset = findReset();
+    if (reset != 0)
+        return fail(reset);
+    m_callbacks.endOfStream();
+}
+
 void tcp_stream::handleWritten(std::size_t bytes, int status)
 {
     m_unwritten -= bytes;
--- a/src/transport/loop/tcp_stream.hpp
+++ b/src/transport/loop/tcp_stream.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -26,7 +27,7 @@
 struct stream_callbacks {
     std::function<void()> connected; ///< only for a stream created by `connect`
     std::function<void(std::string_view)> received;
-    std::function<void()> endOfStream; ///< the peer has shut down its sending side
+    std::function<void()> endOfStream; ///< the peer has shut down its sending side, and not reset the connection before
     std::function<void(int)> failed; ///< takes the libuv error code; the stream is closed
     std::function<void()> drained; ///< all written bytes have been handed to the kernel
 };
@@ -88,7 +89,11 @@
     struct write_request;
     void fail(int error);
     void handleWritten(std::size_t bytes, int status);
+    void handleEnd();
     [[nodiscard]] int descriptor() const;
+    [[nodiscard]] std::optional<int> connectionState() const; ///< such as TCP_CLOSE; empty: unknown
+    /// Returns the libuv error code if the connection was reset before the peer's end of stream, otherwise 0.
+    [[nodiscard]] int findReset() const;
     void setOptions();
     void end();
 
