Reject answers with an impossible status or malformed trailers

Cause: operators of similar systems saw answers with the status 000, and answers in whose head the name of a field holds a blank or a control byte, reach callers. All readers of answers here use one parser. It already rejected both (the tests of these inputs passed before), but accepted the same kind of fault in other places: a status of 600 to 999, the status 101, which no request asks for and after which the connection speaks another protocol, and any bytes as a trailer.

Answers that break them end their attempt as one without an answer, in gateway and in serve.

Tests, which failed before: message_parser_test.Response_StatusOutOfRange_Malformed, Response_TrailerMalformed_Malformed, server_connections_test.Answer_StatusOrFieldNameMalformed_IsNoAnswer, attempt_connections_test.Answer_StatusOrFieldNameMalformed_IsNotForwarded (600 was passed on). message_parser_test.Response_FieldNameWithBlankOrControlByte_Malformed passed before as well.

--- a/src/protocol/http/body_reader.cpp
+++ b/src/protocol/http/body_reader.cpp
@@ -92,9 +92,9 @@
         return parse_status::incomplete;
     default: // trailers are parsed and discarded
         m_trailerBytes += m_line.size();
-        m_line.clear();
-        if (m_trailerBytes > maxTrailerBytes)
+        if (m_trailerBytes > maxTrailerBytes || (!isEmpty && !readFieldLine(m_line)))
             return parse_status::malformed;
+        m_line.clear();
         if (!isEmpty)
             return parse_status::incomplete;
         m_stage = stage::complete;
--- a/src/protocol/http/head_reader.cpp
+++ b/src/protocol/http/head_reader.cpp
@@ -10,7 +10,9 @@
 namespace {
 
 constexpr std::string_view lineEnd = "\r\n";
-constexpr int statusContinue = 100;
+constexpr int firstStatus = 100;
+constexpr int statusSwitchingProtocols = 101;
+constexpr int lastStatus = 599;
 constexpr int statusOk = 200;
 constexpr int statusNoContent = 204;
 constexpr int statusNotModified = 304;
@@ -53,7 +55,7 @@
     return line;
 }
 
-/// Parses all header lines. Folded lines are rejected, because a leading space is not part of a valid name.
+/// Parses all header lines.
 /// \return complete, or the error
 parse_status readFields(std::string_view text, const message_limits& limits, std::vector<header_field>& fields)
 {
@@ -63,15 +65,12 @@
             return parse_status::malformed;
         if (line->empty())
             return text.empty() ? parse_status::complete : parse_status::malformed;
-        const auto colon = line->find(':');
-        if (colon == std::string_view::npos || !isToken(line->substr(0, colon)))
-            return parse_status::malformed;
-        const auto value = trim(line->substr(colon + 1));
-        if (!isValue(value))
+        const auto field = readFieldLine(*line);
+        if (!field)
             return parse_status::malformed;
         if (line->size() > limits.lineBytes || fields.size() >= limits.headers)
             return parse_status::head_too_large;
-        fields.push_back({ std::string(line->substr(0, colon)), std::string(value) });
+        fields.push_back({ std::string(field->first), std::string(field->second) });
     }
 }
 
@@ -142,6 +141,12 @@
     return parse_status::complete;
 }
 
+/// Whether a server may answer with this status. No request asks for another protocol.
+bool isStatus(int status) noexcept
+{
+    return status >= firstStatus && status <= lastStatus && status != statusSwitchingProtocols;
+}
+
 /// Parses a status line such as "HTTP/1.1 200 OK".
 parse_status readStatusLine(std::string_view line, message& answer)
 {
@@ -154,7 +159,7 @@
         return parse_status::malformed;
     rest.remove_prefix(1);
     const auto [end, error] = std::from_chars(rest.data(), rest.data() + statusDigits, answer.status);
-    if (error != std::errc {} || end != rest.data() + statusDigits || answer.status < statusContinue)
+    if (error != std::errc {} || end != rest.data() + statusDigits || !isStatus(answer.status))
         return parse_status::malformed;
     rest.remove_prefix(statusDigits);
     if (!rest.empty() && (rest.front() != ' ' || !isValue(rest)))
@@ -165,6 +170,17 @@
 
 } // namespace
 
+std::optional<std::pair<std::string_view, std::string_view>> readFieldLine(std::string_view line) noexcept
+{
+    const auto colon = line.find(':');
+    if (colon == std::string_view::npos || !isToken(line.substr(0, colon)))
+        return std::nullopt;
+    const auto value = trim(line.substr(colon + 1));
+    if (!isValue(value))
+        return std::nullopt;
+    return std::pair { line.substr(0, colon), value };
+}
+
 std::variant<message_head, parse_status> readRequestHead(std::string_view text, const message_limits& limits)
 {
     message_head head;
--- a/src/protocol/http/head_reader.hpp
+++ b/src/protocol/http/head_reader.hpp
@@ -4,7 +4,9 @@
 #include "protocol/http/parsing.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string_view>
+#include <utility>
 #include <variant>
 
 namespace acaciaslip::protocol::http {
@@ -24,6 +26,12 @@
     std::uint64_t bodyLength = 0; ///< in bytes, with body_framing::length
 };
 
+/// Parses a header or trailer line. Folded lines are rejected, because a leading space is not part of a valid name.
+/// \param line without its CRLF
+/// \return name and value, or std::nullopt if the line is malformed
+[[nodiscard]] std::optional<std::pair<std::string_view, std::string_view>> readFieldLine(
+    std::string_view line) noexcept;
+
 /// Parses the head of a request.
 /// \param text the message up to and including the empty line
 /// \return the head, or the error
--- a/tests/protocol/http/message_parser_test.cpp
+++ b/tests/protocol/http/message_parser_test.cpp
@@ -245,6 +245,49 @@
     }
 }
 
+/// Guards against an answer of a server in trouble that reaches the caller with a status that HTTP does not know.
+TEST_F(message_parser_test, Response_StatusOutOfRange_Malformed)
+{
+    for (const auto* status :
+        { "000", "001", "099", "101", "600", "999", "-20", "+20", "20", "2000", " 200", "0xc8" }) {
+        message_parser parser(message_side::answers, { 1024, 100 });
+        EXPECT_EQ(feed(parser, "HTTP/1.1 " + std::string(status) + " OK\r\nContent-Length: 0\r\n\r\n"),
+            parse_status::malformed)
+            << status;
+    }
+    for (const auto* status : { "200", "299", "404", "599" }) {
+        message_parser parser(message_side::answers, { 1024, 100 });
+        EXPECT_EQ(feed(parser, "HTTP/1.1 " + std::string(status) + " OK\r\nContent-Length: 0\r\n\r\n"),
+            parse_status::complete)
+            << status;
+    }
+}
+
+/// Guards against a line that is passed on although its name is none, and against framing fields that are not
+/// recognized because of it.
+TEST_F(message_parser_test, Response_FieldNameWithBlankOrControlByte_Malformed)
+{
+    for (const std::string& line : { std::string("Content-Length : 2"), std::string("Content-Length\t: 2"),
+             std::string("Content Length: 2"), std::string(" Content-Length: 2"), std::string("\tA: b"),
+             std::string("A\x01: b"), std::string("A\0B: b", 6), std::string("A\x7f: b"), std::string("A\r: b"),
+             std::string("\x0b: b"), std::string(": b"), std::string("A"), std::string("A\xc3\xa4: b") }) {
+        message_parser parser(message_side::answers, { 1024, 100 });
+        const auto text = "HTTP/1.1 200 OK\r\n" + line + "\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n";
+        EXPECT_EQ(feed(parser, text), parse_status::malformed) << line;
+    }
+}
+
+/// Guards against an answer that counts as complete although bytes that are no HTTP stand in its trailers.
+TEST_F(message_parser_test, Response_TrailerMalformed_Malformed)
+{
+    for (const auto* trailer : { "garbage", "A b: c", "A : b", " A: b", ": b", "A\x01: b", "A: \x01" }) {
+        message_parser parser(message_side::answers, { 1024, 100 });
+        const auto text = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n" + std::string(trailer)
+            + "\r\n\r\n";
+        EXPECT_EQ(feed(parser, text), parse_status::malformed) << trailer;
+    }
+}
+
 /// Mutates a valid request at random. Requests that are still accepted must not have line breaks in the target or in
 /// headers, which would allow header injection.
 TEST_F(message_parser_test, Request_RandomChanges_NoLineBreaksInTargetOrHeaders)
--- a/tests/transport/loop/attempt_connections_test.cpp
+++ b/tests/transport/loop/attempt_connections_test.cpp
@@ -216,6 +216,25 @@
     EXPECT_EQ(m_server->connections(), static_cast<int>(cases.size()));
 }
 
+/// Guards against an answer of a server in trouble that is passed on to a caller.
+TEST_F(attempt_connections_test, Answer_StatusOrFieldNameMalformed_IsNotForwarded)
+{
+    const std::vector<std::pair<std::string, std::string>> cases { { "000", "" }, { "600", "" }, { "101", "" },
+        { "200", "A b: c\r\n" }, { "200", "A\x01: c\r\n" }, { "200", "Content-Length : 2\r\n" } };
+    std::atomic<std::size_t> index = 0; // read on the server's thread
+    serve([&](const std::string& request) {
+        const auto& [status, field] = cases[index];
+        const auto start = echo(request);
+        return "HTTP/1.1 " + status + start.substr(start.find(" OK")) + field + "Content-Length: 2\r\n\r\nhi";
+    });
+    createConnections();
+    for (; index < cases.size(); ++index) {
+        const auto finished = sendAndWait(index + 1);
+        EXPECT_EQ(finished.outcome, outcome::mismatched) << cases[index].first << cases[index].second;
+        EXPECT_FALSE(finished.answer);
+    }
+}
+
 TEST_F(attempt_connections_test, Answer_FollowedByExtraBytes_ClosesConnection)
 {
     serve([](const std::string& request) { return answerWith(request, "ab") + "HTTP/1.1 200 OK\r\n"; });
--- a/tests/transport/loop/server_connections_test.cpp
+++ b/tests/transport/loop/server_connections_test.cpp
@@ -175,6 +175,21 @@
     }
 }
 
+/// Guards against an answer of a server in trouble that is passed on to a caller or taken for a status check.
+TEST_F(server_connections_test, Answer_StatusOrFieldNameMalformed_IsNoAnswer)
+{
+    const std::string id = "Acaciaslip-Request: r1\r\n";
+    const std::string body = "Content-Length: 2\r\n\r\nhi";
+    for (const std::string& whole :
+        { "HTTP/1.1 000 OK\r\n" + id + body, "HTTP/1.1 600 OK\r\n" + id + body, "HTTP/1.1 101 OK\r\n" + id + body,
+            "HTTP/1.1 200 OK\r\n" + id + "A b: c\r\n" + body, "HTTP/1.1 200 OK\r\n" + id + "A\x01: c\r\n" + body,
+            "HTTP/1.1 200 OK\r\n" + id + "Content-Length : 2\r\n\r\nhi" }) {
+        answer(whole);
+        EXPECT_EQ(send(1).outcome, state::attempt_outcome::cut) << whole;
+        EXPECT_EQ(probe(1).outcome, gateway::probe_outcome::no_answer) << whole;
+    }
+}
+
 TEST_F(server_connections_test, Attempt_Cancelled_ConnectionIsClosed)
 {
     m_connections.send({ state::attempt_id { 1 }, {}, "s1", m_server.address(), 1s });
