--- a/soak/platform_standin.cpp
+++ b/soak/platform_standin.cpp
@@ -51,9 +51,10 @@
     transport::loop::caller_connection_callbacks callbacks;
     callbacks.nextRequestId = [this] { return state::request_id { m_nextRequest++ }; };
     callbacks.requestReceived = [this, holder](state::request_id id, const message& request) {
-        m_handle(request, [holder, id](std::string bytes) {
+        m_handle(request, [holder, id](const std::string& bytes) {
             if (const auto connection = holder->lock())
-                connection->answer(id, std::move(bytes), false);
+                connection->answer(
+                    id, [&](bool /*keepAlive*/) { return bytes; }, transport::loop::connection_persistence::keep_alive);
         });
     };
     callbacks.callerDisconnected = [](state::request_id) {};
