Limit the memory for requests and answers of serve

The answer to a status check could have 16 MiB.

Change: serve uses the same budget for requests and answers, until an answer has been handed to the operating system. Its size follows from the new setting memory_bytes, by default half of what the host or its cgroup has. A request that does not fit is refused as not run; an answer that does not fit ends its attempt. Answers to status checks are limited to 64 KiB. Three metrics tell of it, under the names that gateway uses.

--- a/src/protocol/node_settings_reader.cpp
+++ b/src/protocol/node_settings_reader.cpp
@@ -9,12 +9,13 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 11> nodeKeys { "id", "data_centre", "callers", "peers", "operators", "platform",
-    "seed_peers", "lame_duck_ms", "log_level", "caller_threads", "max_body_bytes" };
+constexpr std::array<std::string_view, 12> nodeKeys { "id", "data_centre", "callers", "peers", "operators", "platform",
+    "seed_peers", "lame_duck_ms", "log_level", "caller_threads", "max_body_bytes", "memory_bytes" };
 
 constexpr number_bounds lameDuckBounds { 0, 600'000, "ms" };
 constexpr number_bounds threadBounds { 1, 4096, "threads" };
 constexpr number_bounds bodyBounds { 1, 1024.0 * 1024 * 1024, "bytes" };
+constexpr number_bounds memoryBounds { 64.0 * 1024 * 1024, 1024.0 * 1024 * 1024 * 1024, "bytes" };
 
 std::vector<std::string> readAddresses(const located_value& list, issue_list& issues)
 {
@@ -72,6 +73,8 @@
         ignoreInteger(settings, "caller_threads", *threads, threadBounds, issues);
     if (const auto bytes = findKey(root, "max_body_bytes"))
         assignIfPresent(settings.maxBodyBytes, readInteger(*bytes, bodyBounds, issues));
+    if (const auto bytes = findKey(root, "memory_bytes"))
+        assignIfPresent(settings.memoryBytes, readInteger(*bytes, memoryBounds, issues));
 }
 
 /// Checks that callers, peers and operators have different addresses; peers also use a TCP port.
--- a/src/state/node_settings.hpp
+++ b/src/state/node_settings.hpp
@@ -24,6 +24,7 @@
     /// Obsolete keys, accepted so that settings files of earlier versions remain valid.
     std::vector<std::string> ignoredKeys;
     std::uint64_t maxBodyBytes = 8ULL * 1024 * 1024;
+    std::uint64_t memoryBytes = 0; ///< memory that the process may use; 0: half of what the host or its cgroup has
 };
 
 } // namespace acaciaslip::state
--- a/src/transport/loop/attempt_connections.cpp
+++ b/src/transport/loop/attempt_connections.cpp
@@ -107,6 +107,7 @@
     made->deadline = std::make_unique<timer>(
         m_loop, guarded([this](const connection_pointer& connection) { handleDeadline(connection); }));
     made->http = http_connection::open(m_loop, *to, m_limits, std::move(callbacks));
+    made->http->useBudget(m_budget);
     ++m_servers[address].open;
     return made;
 }
--- a/src/transport/loop/attempt_connections.hpp
+++ b/src/transport/loop/attempt_connections.hpp
@@ -33,6 +33,9 @@
     attempt_connections(const attempt_connections&) = delete;
     attempt_connections& operator=(const attempt_connections&) = delete;
 
+    /// Counts the answers on connections opened from now on against a budget.
+    void useBudget(std::shared_ptr<coordination::memory_budget> budget) { m_budget = std::move(budget); }
+
     /// Starts an attempt. If the limit of connections to the server is reached, it ends immediately as no_connection.
     void send(const coordination::send_attempt& attempt);
 
@@ -73,6 +76,7 @@
     std::string m_attemptPrefix;
     protocol::http::message_limits m_limits;
     event_sink m_events;
+    std::shared_ptr<coordination::memory_budget> m_budget;
     /// Must be below the idle timeout of the servers, which is at least 5 s.
     state::duration m_maxIdleTime = std::chrono::seconds { 4 };
     absl::flat_hash_map<std::string, connection_pool> m_servers; ///< by address
--- a/src/transport/loop/gateway_metrics.cpp
+++ b/src/transport/loop/gateway_metrics.cpp
@@ -123,12 +123,7 @@
         "Watches of the store answered early with nothing new", gauges.storeUselessAnswers));
     families.push_back(
         makeGauge("acaciaslip_peers", "Other entry hosts heard of lately", static_cast<double>(node.peers.size())));
-    families.push_back(makeGauge("acaciaslip_message_bytes", "Bytes of requests and answers in hand",
-        static_cast<double>(gauges.memory.heldBytes)));
-    families.push_back(makeGauge("acaciaslip_message_bytes_limit", "Limit of acaciaslip_message_bytes",
-        static_cast<double>(gauges.memory.limitBytes)));
-    families.push_back(makeCounter("acaciaslip_messages_without_memory_total",
-        "Requests and answers that did not fit into the memory for messages", gauges.memory.rejections));
+    addMessageMemory(families, gauges.memory);
     families.push_back(
         makeCounter("acaciaslip_datagrams_refused_total", "Datagrams that are no heartbeat", gauges.datagramsRejected));
     return prometheus::TextSerializer().Serialize(families);
--- a/src/transport/loop/node_caller_server.cpp
+++ b/src/transport/loop/node_caller_server.cpp
@@ -59,7 +59,8 @@
 void node_caller_server::answer(const coordination::answer_caller& wanted)
 {
     finish(
-        wanted.id, [&](const auto& form) { return protocol::writeCallerAnswer(wanted, form); }, wanted.closeConnection);
+        wanted.id, [&](const auto& form) { return protocol::writeCallerAnswer(wanted, form); }, wanted.closeConnection,
+        wanted.answer);
 }
 
 void node_caller_server::refuse(const coordination::refuse_caller& wanted)
@@ -68,8 +69,9 @@
         wanted.id, [&](const auto& form) { return protocol::writeRefusal(wanted, form); }, wanted.closeConnection);
 }
 
-void node_caller_server::finish(
-    state::request_id id, const std::function<std::string(const protocol::answer_options&)>& write, bool close)
+void node_caller_server::finish(state::request_id id,
+    const std::function<std::string(const protocol::answer_options&)>& write, bool close,
+    std::shared_ptr<const void> held)
 {
     const auto found = m_pending.find(id);
     if (found == m_pending.end())
@@ -83,7 +85,8 @@
             [&](bool keepAlive) {
                 return write({ ended.isHeadRequest, keepAlive });
             },
-            closes ? connection_persistence::close_after_requests : connection_persistence::keep_alive);
+            closes ? connection_persistence::close_after_requests : connection_persistence::keep_alive,
+            std::move(held));
 }
 
 void node_caller_server::stop(std::function<void()> stopped)
--- a/src/transport/loop/node_caller_server.hpp
+++ b/src/transport/loop/node_caller_server.hpp
@@ -41,6 +41,9 @@
     [[nodiscard]] absl::Status listen(const std::string& address) { return m_listener.listen(address); }
     [[nodiscard]] int port() const { return m_listener.port(); }
 
+    /// Counts the requests from now on against a budget. One that does not fit is refused as not run.
+    void useBudget(std::shared_ptr<coordination::memory_budget> budget) { m_listener.useBudget(std::move(budget)); }
+
     /// Sends a server's answer to the caller.
     void answer(const coordination::answer_caller& wanted);
 
@@ -67,8 +70,8 @@
 
     void handleRequest(
         state::request_id id, const std::shared_ptr<caller_connection>& from, protocol::http::message request);
-    void finish(
-        state::request_id id, const std::function<std::string(const protocol::answer_options&)>& write, bool close);
+    void finish(state::request_id id, const std::function<std::string(const protocol::answer_options&)>& write,
+        bool close, std::shared_ptr<const void> held = {});
     void continueStop();
 
     caller_limits m_limits;
--- a/src/transport/loop/node_daemon.cpp
+++ b/src/transport/loop/node_daemon.cpp
@@ -10,6 +10,7 @@
 #include "transport/loop/udp_socket.hpp"
 #include "transport/loop/value_exchange.hpp"
 
+#include <algorithm>
 #include <utility>
 
 #include <fmt/format.h>
@@ -25,6 +26,8 @@
 constexpr state::duration platformTimeoutMargin
     = std::chrono::milliseconds { 1000 }; ///< added to the requested long-poll wait
 constexpr protocol::http::message_limits fetchLimits { 65536, 16ULL * 1024 * 1024 };
+constexpr protocol::http::message_limits probeLimits { 8192, 65536 }; ///< the answers are a few numbers
+constexpr std::uint64_t defaultMemoryDivisor = 2; ///< leaves memory to the other processes of a host
 constexpr int statusOk = 200;
 constexpr int statusNotModified = 304;
 constexpr int statusNotFound = 404;
@@ -36,6 +39,16 @@
     return limits;
 }
 
+coordination::memory_budget makeBudget(const state::node_settings& settings)
+{
+    if (settings.memoryBytes > 0)
+        return coordination::makeMemoryBudget(settings.memoryBytes);
+    const auto total = uv_get_total_memory();
+    const auto constrained = uv_get_constrained_memory(); // 0: unknown
+    return coordination::makeMemoryBudget(
+        (constrained > 0 ? std::min(total, constrained) : total) / defaultMemoryDivisor);
+}
+
 coordination::log_level lowestLevel(const state::node_settings& settings)
 {
     return state::findValue<coordination::log_level>(coordination::logLevelNames, settings.logLevel)
@@ -50,7 +63,8 @@
             owner.loop(), makeCallerLimits(owner.m_settings), [&owner](auto event) { owner.post(std::move(event)); })
         , attempts(owner.loop(), fmt::format("{}.{}", owner.m_settings.id, owner.m_incarnation),
               makeCallerLimits(owner.m_settings).message, [&owner](auto event) { owner.post(std::move(event)); })
-        , operators(owner.m_process, owner.m_node, [&owner] { owner.drain(); })
+        , operators(owner.m_process, owner.m_node, owner.m_memory, [&owner] { owner.drain(); })
+        , probes(owner.loop(), probeLimits)
         , fetches(owner.loop(), fetchLimits)
         , values(owner.loop(), [&owner](auto event) { owner.post(std::move(event)); })
         , peers(owner.loop(),
@@ -68,6 +82,7 @@
     node_caller_server callers;
     attempt_connections attempts;
     node_operators operators;
+    http_fetcher probes;
     http_fetcher fetches;
     value_exchange values;
     udp_socket peers;
@@ -105,9 +120,12 @@
           coordination::makeNode(settings, m_incarnation, [this](const auto& bodies) { return m_values.read(bodies); }))
     , m_random(makeSeed())
     , m_process(lowestLevel(settings))
+    , m_memory(std::make_shared<coordination::memory_budget>(makeBudget(settings)))
     , m_queue([this](const auto& happened) { handle(happened); }, [] {})
     , m_parts(std::make_unique<parts>(*this))
 {
+    m_parts->callers.useBudget(m_memory);
+    m_parts->attempts.useBudget(m_memory);
 }
 
 node_daemon::~node_daemon()
@@ -150,7 +168,7 @@
     const bool health = wanted.kind == coordination::probe_kind::health;
     const auto request = fmt::format("GET /acaciaslip/{} HTTP/1.1\r\nHost: {}\r\nConnection: close\r\n\r\n",
         state::findName(coordination::probeKindNames, wanted.kind), wanted.address);
-    m_parts->fetches.fetch(
+    m_parts->probes.fetch(
         wanted.address, request, probeTimeouts, [this, health, server = wanted.server](const fetch_result& fetched) {
             const auto& answer = fetched.answer;
             coordination::probe_finished finished { server, false, {}, {} };
@@ -217,6 +235,7 @@
     m_parts->callers.close();
     m_parts->attempts.close();
     m_parts->operators.close();
+    m_parts->probes.close();
     m_parts->fetches.close();
     m_parts->values.close();
     m_parts->peers.close();
--- a/src/transport/loop/node_daemon.hpp
+++ b/src/transport/loop/node_daemon.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/memory_budget.hpp"
 #include "coordination/node.hpp"
 #include "protocol/fleet_settings_reader.hpp"
 #include "state/node_settings.hpp"
@@ -58,6 +59,7 @@
     coordination::random_generator m_random;
     coordination::effect_list m_effects;
     process_loop m_process;
+    std::shared_ptr<coordination::memory_budget> m_memory; ///< for requests and answers in hand
     event_queue<coordination::event> m_queue;
     std::function<void()> m_closing;
     std::unique_ptr<parts> m_parts;
--- a/src/transport/loop/node_operators.cpp
+++ b/src/transport/loop/node_operators.cpp
@@ -33,9 +33,11 @@
     std::unique_ptr<timer> next;
 };
 
-node_operators::node_operators(process_loop& process, const coordination::node& node, std::function<void()> drain)
+node_operators::node_operators(process_loop& process, const coordination::node& node,
+    std::shared_ptr<const coordination::memory_budget> memory, std::function<void()> drain)
     : m_process(process)
     , m_node(node)
+    , m_memory(std::move(memory))
     , m_drain(std::move(drain))
     , m_service(process.handle(), [this](const auto& request, const auto& reply) { answer(request, reply); })
 {
@@ -65,7 +67,7 @@
         return reply({ statusNotFound, "text/plain", "no such path; there are /health, /dump, /metrics and /drain\n" });
     const auto copy = std::make_shared<snapshot_copy>();
     copy->snapshot = protocol::copyOverview(m_node, bootNow());
-    copy->gauges = { m_process.log().dropped() };
+    copy->gauges = { m_process.log().dropped(), *m_memory };
     copy->isDump = path == "/dump";
     copy->reply = reply;
     m_copies.insert(copy);
--- a/src/transport/loop/node_operators.hpp
+++ b/src/transport/loop/node_operators.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/memory_budget.hpp"
 #include "coordination/node.hpp"
 #include "transport/loop/http_service.hpp"
 #include "transport/loop/process_loop.hpp"
@@ -16,8 +17,10 @@
 /// HTTP service for operators of a node: /health, /dump, /metrics and /drain.
 class node_operators {
 public:
+    /// \param memory for requests and answers in hand
     /// \param drain starts a graceful shutdown
-    node_operators(process_loop& process, const coordination::node& node, std::function<void()> drain);
+    node_operators(process_loop& process, const coordination::node& node,
+        std::shared_ptr<const coordination::memory_budget> memory, std::function<void()> drain);
 
     ~node_operators();
     node_operators(const node_operators&) = delete;
@@ -35,6 +38,7 @@
 
     process_loop& m_process;
     const coordination::node& m_node;
+    std::shared_ptr<const coordination::memory_budget> m_memory;
     std::function<void()> m_drain;
     http_service m_service;
     std::unordered_set<std::shared_ptr<snapshot_copy>> m_copies; ///< still being copied
--- a/src/transport/metric_families.cpp
+++ b/src/transport/metric_families.cpp
@@ -48,6 +48,16 @@
     return family;
 }
 
+void addMessageMemory(std::vector<MetricFamily>& families, const coordination::memory_budget& memory)
+{
+    families.push_back(makeGauge(
+        "acaciaslip_message_bytes", "Bytes of requests and answers in hand", static_cast<double>(memory.heldBytes)));
+    families.push_back(makeGauge(
+        "acaciaslip_message_bytes_limit", "Limit of acaciaslip_message_bytes", static_cast<double>(memory.limitBytes)));
+    families.push_back(makeCounter("acaciaslip_messages_without_memory_total",
+        "Requests and answers that did not fit into the memory for messages", memory.rejections));
+}
+
 void addHistogram(MetricFamily& family, metric_labels labels, const state::duration_histogram& histogram)
 {
     ClientMetric metric;
--- a/src/transport/metric_families.hpp
+++ b/src/transport/metric_families.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/memory_budget.hpp"
 #include "state/duration_histogram.hpp"
 #include "state/enum_names.hpp"
 
@@ -27,6 +28,9 @@
 /// Creates a family with a single gauge.
 [[nodiscard]] prometheus::MetricFamily makeGauge(const char* name, const char* help, double value);
 
+/// Adds the families that describe the memory for requests and answers in hand.
+void addMessageMemory(std::vector<prometheus::MetricFamily>& families, const coordination::memory_budget& memory);
+
 /// Adds a histogram to a family, with its bucket bounds and sum in seconds.
 void addHistogram(prometheus::MetricFamily& family, metric_labels labels, const state::duration_histogram& histogram);
 
--- a/src/transport/metrics.cpp
+++ b/src/transport/metrics.cpp
@@ -164,6 +164,7 @@
     addPeers(families, snapshot);
     families.push_back(makeCounter(
         "acaciaslip_log_lines_dropped_total", "Log lines that nobody read in time", gauges.logLinesDropped));
+    addMessageMemory(families, gauges.memory);
     return families;
 }
 
--- a/src/transport/metrics.hpp
+++ b/src/transport/metrics.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/memory_budget.hpp"
 #include "protocol/node_snapshot.hpp"
 
 #include <cstdint>
@@ -13,6 +14,7 @@
 /// Process metrics that are not part of the node snapshot.
 struct process_gauges {
     std::uint64_t logLinesDropped = 0; ///< since the process started
+    coordination::memory_budget memory {}; ///< for requests and answers in hand
 };
 
 /// Creates the metric families for a snapshot.
--- a/tests/protocol/node_settings_reader_test.cpp
+++ b/tests/protocol/node_settings_reader_test.cpp
@@ -33,7 +33,7 @@
 TEST_F(node_settings_reader_test, Text_AllKeys_AllSettingsAreRead)
 {
     m_text += "seed_peers: ['10.0.0.2:7400']\nlame_duck_ms: 50\nlog_level: debug\ncaller_threads: 7\n"
-              "max_body_bytes: 1000\n";
+              "max_body_bytes: 1000\nmemory_bytes: 167772160\n";
     const auto settings = readNodeSettings(m_text, "node.yaml");
     ASSERT_TRUE(settings.ok()) << settings.status().message();
     EXPECT_EQ(settings->seedPeers, std::vector<std::string> { "10.0.0.2:7400" });
@@ -41,6 +41,7 @@
     EXPECT_EQ(settings->logLevel, "debug");
     EXPECT_EQ(settings->ignoredKeys, std::vector<std::string> { "caller_threads" });
     EXPECT_EQ(settings->maxBodyBytes, 1000U);
+    EXPECT_EQ(settings->memoryBytes, 167772160U);
 }
 
 TEST_F(node_settings_reader_test, Keys_AllMissing_AreReportedTogether)
@@ -52,11 +53,12 @@
 
 TEST_F(node_settings_reader_test, Values_Invalid_AreEachReportedWithPosition)
 {
-    m_text += "lame_duck_ms: -1\nlog_level: inf\ncaller_threads: many\nlog_lvl: info\n";
+    m_text += "lame_duck_ms: -1\nlog_level: inf\ncaller_threads: many\nlog_lvl: info\nmemory_bytes: 1000\n";
     const auto error = errorOf();
     EXPECT_THAT(error, HasSubstr("node.yaml:7:15: '-1' is out of range; write 0 to 600000 ms"));
     EXPECT_THAT(error, HasSubstr("node.yaml:8:12: 'inf' is not known here (did you mean 'info'?)"));
     EXPECT_THAT(error, HasSubstr("node.yaml:9:17: 'many' is not a whole number"));
+    EXPECT_THAT(error, HasSubstr("node.yaml:11:15: '1000' is out of range; write 67108864 to 1099511627776 bytes"));
     EXPECT_THAT(error, HasSubstr("node.yaml:10:1: unknown key 'log_lvl' (did you mean 'log_level'?)"));
 }
 
--- a/tests/transport/loop/endless_bytes_test.cpp
+++ b/tests/transport/loop/endless_bytes_test.cpp
@@ -1,3 +1,5 @@
+#include "protocol/node_http_messages.hpp"
+#include "transport/loop/attempt_connections.hpp"
 #include "transport/loop/caller_server.hpp"
 #include "transport/loop/endless_answers.hpp"
 #include "transport/loop/loop_fixture.hpp"
@@ -98,6 +100,54 @@
     EXPECT_TRUE(serverConnectionsClose());
 }
 
+/// The connections of a node to a server whose answers do not end.
+class attempt_endless_bytes_test : public loop_fixture {
+protected:
+    attempt_endless_bytes_test()
+    {
+        (void)std::signal(SIGPIPE, SIG_IGN);
+        m_connections.useBudget(m_budget);
+    }
+
+    void sendAttempts(std::uint64_t count)
+    {
+        m_finished.clear();
+        protocol::http::message request;
+        request.method = "GET";
+        request.target = "/a";
+        request.headers = { { "Host", "x" } };
+        const auto body = std::make_shared<protocol::http_payload>(std::move(request));
+        const auto deadline = bootNow() + 10s;
+        for (std::uint64_t id = 1; id <= count; ++id)
+            m_connections.send({ state::attempt_id { id }, "s1", m_server.address(), deadline, deadline, 1000, body });
+        EXPECT_TRUE(runUntil([&] { return m_finished.size() == count; }, 20s));
+    }
+
+    std::shared_ptr<coordination::memory_budget> m_budget
+        = std::make_shared<coordination::memory_budget>(coordination::makeMemoryBudget(smallestHost));
+    endless_server m_server { &m_loop };
+    std::vector<coordination::attempt_finished> m_finished;
+    attempt_connections m_connections { &m_loop, "n1", {}, [this](coordination::event happened) {
+                                           m_finished.push_back(std::get<coordination::attempt_finished>(happened));
+                                       } };
+};
+
+/// Guards against a server in trouble that takes all memory of the node that calls it.
+TEST_F(attempt_endless_bytes_test, Answers_WithoutEnd_FailWithinMemoryOfSmallestHost)
+{
+    constexpr std::uint64_t attempts = 50;
+    for (const auto& answer : endlessAnswers()) {
+        m_server.serve(answer);
+        sendAttempts(attempts);
+        for (const auto& finished : m_finished)
+            EXPECT_EQ(finished.outcome, state::attempt_outcome::mismatched) << answer.what;
+        EXPECT_TRUE(runUntil([this] { return m_server.isEveryConnectionClosed(); })) << answer.what;
+        EXPECT_EQ(m_budget->heldBytes, 0U) << answer.what;
+        EXPECT_LE(m_budget->peakBytes * copiesPerMessage + processReserve, smallestHost) << answer.what;
+    }
+    EXPECT_GT(m_budget->rejections, 0U);
+}
+
 /// A server must end its answer with the bytes that its framing requires, even if it closes the connection properly.
 TEST_F(endless_bytes_test, Answer_BreaksOff_FailsInEveryFraming)
 {
