Tell a connection that both sides have ended from a reset one

Cause: since resets are reported as such, a connection that had ended in good order on both sides counted as reset: the system keeps it in the same state.

Change: the state of the connection is used only until this side has ended its stream. It stands in for an error that a failed write has taken, and there are no writes after that.

--- a/src/transport/loop/tcp_stream.cpp
+++ b/src/transport/loop/tcp_stream.cpp
@@ -153,8 +153,9 @@
         return 0; // the reset followed the peer's end of stream
     if (error != 0)
         return uv_translate_sys_error(error);
-    // A write that failed has already taken the error from the socket.
-    return connectionState() == TCP_CLOSE ? UV_ECONNRESET : 0;
+    // A write that failed has already taken the error from the socket. After this side's shutdown no write can fail,
+    // and a connection that both sides have ended is in the same state.
+    return !m_isShutDown && connectionState() == TCP_CLOSE ? UV_ECONNRESET : 0;
 }
 
 bool tcp_stream::hasPendingInput() const
@@ -286,6 +287,7 @@
         self->m_peerClosed = true;
         self->close();
     };
+    m_isShutDown = true;
     auto* const request = new uv_shutdown_t {};
     const int status = uv_shutdown(
         request, reinterpret_cast<uv_stream_t*>(m_handle), [](uv_shutdown_t* done, int /*status*/) { delete done; });
--- a/src/transport/loop/tcp_stream.hpp
+++ b/src/transport/loop/tcp_stream.hpp
@@ -103,6 +103,7 @@
     bool m_closed = false;
     bool m_peerClosed = false;
     bool m_closesWhenWritten = false; ///< close when all writes have finished
+    bool m_isShutDown = false; ///< this side has ended its stream
     std::unique_ptr<timer> m_lingerTimer;
     std::function<void()> m_onClosed;
 };
