--- a/src/platform/item_reader.cpp
+++ b/src/platform/item_reader.cpp
@@ -3,7 +3,7 @@
 #include "platform/json_field.hpp"
 #include "platform/json_text.hpp"
 #include "platform/team_reader.hpp"
-#include "transport/loop/tcp_stream.hpp"
+#include "transport/loop/socket_address.hpp"
 
 #include <algorithm>
 
@@ -39,31 +39,16 @@
     return state == "draining";
 }
 
-std::string name(const json& from, const char* field)
-{
-    auto read = text(from, field);
-    if (read.size() > maxNameBytes)
-        throw field_error { field };
-    return read;
-}
-
-std::string address(const json& from)
-{
-    constexpr const char* field = "address";
-    auto read = text(from, field);
-    if (!transport::loop::parseAddress(read).ok())
-        throw field_error { field };
-    return read;
-}
-
 server_entry readEntry(const std::string& id, const json& from)
 {
     server_entry entry;
     entry.id = id;
-    entry.address = address(from);
+    entry.address = text(from, "address");
+    if (!transport::loop::parseAddress(entry.address).ok())
+        throw field_error { "address" };
     const auto& info = at(from, "info");
-    entry.service = name(info, "service");
-    entry.dataCentre = name(info, "zone");
+    entry.service = text(info, "service", maxNameBytes);
+    entry.dataCentre = text(info, "zone", maxNameBytes);
     entry.slots = number<std::uint32_t>(info, "max-concurrency");
     const auto& status = at(from, "status");
     entry.draining = draining(status);
--- a/src/platform/json_field.hpp
+++ b/src/platform/json_field.hpp
@@ -28,13 +28,18 @@
     return *found;
 }
 
+/// \param maxBytes longest text
 /// \return a text that is not empty
-[[nodiscard]] inline std::string text(const nlohmann::json& from, const char* field)
+[[nodiscard]] inline std::string text(
+    const nlohmann::json& from, const char* field, std::size_t maxBytes = std::string::npos)
 {
     const auto& value = at(from, field);
-    if (!value.is_string() || value.get_ref<const std::string&>().empty())
+    if (!value.is_string())
         throw field_error { field };
-    return value.get<std::string>();
+    const auto& read = value.get_ref<const std::string&>();
+    if (read.empty() || read.size() > maxBytes)
+        throw field_error { field };
+    return read;
 }
 
 /// \return a number that is not negative and within the range of its type
--- a/src/transport/loop/tcp_stream.cpp
+++ b/src/transport/loop/tcp_stream.cpp
@@ -1,10 +1,10 @@
 #include "transport/loop/tcp_stream.hpp"
 
+#include "transport/loop/socket_state.hpp"
+
 #include <array>
-#include <cerrno>
 #include <utility>
 
-#include <fmt/format.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
@@ -55,26 +55,6 @@
     std::shared_ptr<const void> held;
 };
 
-absl::StatusOr<sockaddr_in> parseAddress(const std::string& text)
-{
-    const auto colon = text.rfind(':');
-    sockaddr_in address {};
-    if (colon == std::string::npos)
-        return absl::InvalidArgumentError(fmt::format("'{}' is not an address; write IP:PORT", text));
-    const auto port = std::atoi(text.c_str() + colon + 1); // NOLINT(cert-err34-c): 0 is rejected below
-    constexpr int maxPort = 65535;
-    if (port <= 0 || port > maxPort || uv_ip4_addr(text.substr(0, colon).c_str(), port, &address) != 0)
-        return absl::InvalidArgumentError(fmt::format("'{}' is not an address; write IP:PORT", text));
-    return address;
-}
-
-std::string formatAddress(const sockaddr_in& address)
-{
-    std::array<char, INET_ADDRSTRLEN> ip {};
-    uv_ip4_name(&address, ip.data(), ip.size());
-    return fmt::format("{}:{}", ip.data(), ntohs(address.sin_port));
-}
-
 tcp_stream::tcp_stream(uv_loop_t* loop, stream_callbacks callbacks)
     : m_handle(new uv_tcp_t {})
     , m_callbacks(std::move(callbacks))
@@ -131,38 +111,12 @@
 
 bool tcp_stream::isClosedOrReset() const
 {
-    return m_closed || connectionState().value_or(TCP_CLOSE) == TCP_CLOSE;
-}
-
-std::optional<int> tcp_stream::connectionState() const
-{
-    tcp_info info {};
-    socklen_t size = sizeof info;
-    if (::getsockopt(descriptor(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0)
-        return std::nullopt;
-    return info.tcpi_state;
-}
-
-int tcp_stream::findReset() const
-{
-    int error = 0;
-    socklen_t size = sizeof error;
-    if (::getsockopt(descriptor(), SOL_SOCKET, SO_ERROR, &error, &size) != 0)
-        return 0;
-    if (error == EPIPE)
-        return 0; // the reset followed the peer's end of stream
-    if (error != 0)
-        return uv_translate_sys_error(error);
-    // A write that failed has already taken the error from the socket. After this side's shutdown no write can fail,
-    // and a connection that both sides have ended is in the same state.
-    return !m_isShutDown && connectionState() == TCP_CLOSE ? UV_ECONNRESET : 0;
+    return m_closed || isSocketClosed(descriptor());
 }
 
 bool tcp_stream::hasPendingInput() const
 {
-    char byte = 0;
-    const auto got = m_closed ? 0 : ::recv(descriptor(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return got >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+    return m_closed || isInputPending(descriptor());
 }
 
 void tcp_stream::setOptions()
@@ -240,7 +194,7 @@
 /// since.
 void tcp_stream::handleEnd()
 {
-    const int reset = findReset();
+    const int reset = findReset(descriptor(), m_isShutDown);
     if (reset != 0)
         return fail(reset);
     m_callbacks.endOfStream();
--- a/src/transport/loop/tcp_stream.hpp
+++ b/src/transport/loop/tcp_stream.hpp
@@ -1,28 +1,18 @@
 #pragma once
 
+#include "transport/loop/socket_address.hpp"
 #include "transport/loop/timer.hpp"
 
 #include <cstdint>
 #include <functional>
 #include <memory>
-#include <optional>
 #include <string>
 #include <string_view>
 
-#include <absl/status/status.h>
-#include <absl/status/statusor.h>
 #include <uv.h>
 
 namespace acaciaslip::transport::loop {
 
-/// Parses an IPv4 address and port into the form that the socket calls take.
-/// \param text "ip:port"
-/// \return the address, or an InvalidArgument error if the text is malformed
-[[nodiscard]] absl::StatusOr<sockaddr_in> parseAddress(const std::string& text);
-
-/// Formats an address as "ip:port".
-[[nodiscard]] std::string formatAddress(const sockaddr_in& address);
-
 /// Callbacks from a stream to its owner. None is called after `tcp_stream::close`.
 struct stream_callbacks {
     std::function<void()> connected; ///< only for a stream created by `connect`
@@ -91,9 +81,6 @@
     void handleWritten(std::size_t bytes, int status);
     void handleEnd();
     [[nodiscard]] int descriptor() const;
-    [[nodiscard]] std::optional<int> connectionState() const; ///< such as TCP_CLOSE; empty: unknown
-    /// Returns the libuv error code if the connection was reset before the peer's end of stream, otherwise 0.
-    [[nodiscard]] int findReset() const;
     void setOptions();
     void end();
 
