--- a/soak/platform_standin.cpp
+++ b/soak/platform_standin.cpp
@@ -147,6 +147,27 @@
     return json { { "events", events }, { "as-of", m_revision } }.dump();
 }
 
+namespace {
+
+/// Turns an answer into one that is no HTTP.
+std::string makeMalformed(const std::string& answer, std::uint32_t choice)
+{
+    constexpr std::string_view start = "HTTP/1.1 200 X\r\n";
+    const auto rest = answer.substr(start.size());
+    switch (choice % 4) {
+    case 0:
+        return "HTTP/9 OK\r\n" + rest;
+    case 1:
+        return "HTTP/1.1 000 X\r\n" + rest;
+    case 2:
+        return fmt::format("{}A field: x\r\n{}", start, rest);
+    default:
+        return fmt::format("{}A\x01: x\r\n{}", start, rest);
+    }
+}
+
+} // namespace
+
 server_standin::server_standin(
     uv_loop_t* loop, std::string id, std::string service, guarantee_checker& checker, std::mt19937& random)
     : m_loop(loop)
@@ -177,7 +198,7 @@
     auto answer = head(200, id, body.size()) + "\r\n" + body;
     switch (m_fault) {
     case server_fault::malformed:
-        return "HTTP/9 OK\r\n\r\n" + body;
+        return makeMalformed(answer, m_random());
     case server_fault::unfinished:
         return head(200, id, 2 * unfinishedBytes) + "\r\n" + std::string(unfinishedBytes, 'x');
     case server_fault::duplicate:
--- a/src/coordination/gateway/fleet_relay.cpp
+++ b/src/coordination/gateway/fleet_relay.cpp
@@ -17,13 +17,13 @@
 /// Delay of the next fetch after one that a peer refused, that left this host behind another peer, or that was not the
 /// first to get no answer.
 constexpr state::duration nextFetchDelay = std::chrono::milliseconds { 100 };
-/// Hosts of other versions may encode what this one cannot decode. It then reads the store itself, early enough for a
-/// change to take effect in time.
+/// Time for which answers are unreadable until this host reads the store itself. Far below the time in which a change
+/// must take effect.
 constexpr state::duration unreadablePatience = std::chrono::milliseconds { 300 };
 /// Delay of the next fetch once answers stay unreadable; a link may be thin, and the answer large.
 constexpr state::duration unreadableFetchDelay = std::chrono::seconds { 1 };
 /// Time after the latest unreadable answer until the host relies on its peers again.
-constexpr state::duration unreadableMemory = std::chrono::seconds { 60 };
+constexpr state::duration unreadableExpiry = std::chrono::seconds { 60 };
 constexpr std::uint32_t maxRedirections = 12; ///< of one fetch, so that hosts cannot redirect it forever
 constexpr std::uint64_t loggedFetchBytes = 16384;
 constexpr state::duration loggedFetchTime = std::chrono::milliseconds { 100 };
@@ -62,13 +62,14 @@
             { "revision", std::to_string(self.published.asOf) } } });
 }
 
+/// Tracks since when peers have sent only answers that cannot be decoded, as hosts of another version may.
 void recordReadability(fetch_state& fetch, fetch_outcome outcome, state::time_point now)
 {
     if (outcome == fetch_outcome::received)
         fetch.unreadableSince.reset();
     if (outcome != fetch_outcome::unreadable)
         return;
-    if (!fetch.unreadableSince || now - fetch.lastUnreadableAt >= unreadableMemory)
+    if (!fetch.unreadableSince || now - fetch.lastUnreadableAt >= unreadableExpiry)
         fetch.unreadableSince = now;
     fetch.lastUnreadableAt = now;
 }
@@ -87,7 +88,7 @@
 bool isRelayUnreadable(const gateway_node& self, state::time_point now) noexcept
 {
     const auto& since = self.fetch.unreadableSince;
-    return since && now - *since >= unreadablePatience && now - self.fetch.lastUnreadableAt < unreadableMemory;
+    return since && now - *since >= unreadablePatience && now - self.fetch.lastUnreadableAt < unreadableExpiry;
 }
 
 void handleFleetUpdate(gateway_node& self, const fleet_update_received& published, state::time_point now,
--- a/src/protocol/gateway_codec/known_peers.cpp
+++ b/src/protocol/gateway_codec/known_peers.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <limits>
 
 #include <arpa/inet.h>
 
--- a/src/protocol/gateway_peer_codec.cpp
+++ b/src/protocol/gateway_peer_codec.cpp
@@ -15,6 +15,7 @@
 constexpr char version = 1;
 constexpr std::size_t maxDeltaBytes = 33554432; ///< about ten thousand servers and routes
 constexpr int maxEntries = 65536; ///< per list
+
 template <typename Result, typename Struct>
 absl::StatusOr<Result> decodeChecked(std::string_view bytes, std::size_t limit)
 {
--- a/tests/transport/loop/node_daemon_server_fault_test.cpp
+++ b/tests/transport/loop/node_daemon_server_fault_test.cpp
@@ -4,7 +4,8 @@
 
 #include <atomic>
 #include <csignal>
-#include <fstream>
+#include <map>
+#include <mutex>
 #include <thread>
 
 #include <fmt/format.h>
@@ -75,10 +76,23 @@
         return at == std::string::npos ? -1 : std::stod(text.substr(at + name.size() + 2));
     }
 
+    /// Returns the start of an answer's head.
+    static std::string echo(const std::string& status, const std::string& id)
+    {
+        return fmt::format("HTTP/1.1 {} OK\r\nAcaciaslip-Request: {}\r\n", status, id);
+    }
+
     static int portOf(const std::string& address) { return std::stoi(address.substr(address.find(':') + 1)); }
 
-    /// Answers the requests to `/a`; `head` echoes the request's id.
-    std::function<void(raw_socket&, const std::string& head)> m_answer;
+    using answer_function = std::function<void(raw_socket&, const std::string& id)>;
+
+    /// Sets how the faulty server answers a request; it must echo the request's id.
+    void setAnswer(answer_function answer)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_answer = std::move(answer);
+    }
+
     std::atomic<int> m_faultyAnswers = 0;
     std::atomic<bool> m_stopping = false;
     state::node_settings m_settings;
@@ -93,7 +107,12 @@
         const auto id = findHeader(text, "Acaciaslip-Request");
         if (!isProbe && !isSound) {
             ++m_faultyAnswers;
-            return m_answer(connection, fmt::format("HTTP/1.1 200 OK\r\nAcaciaslip-Request: {}\r\n", id));
+            answer_function answer;
+            {
+                const std::lock_guard lock(m_mutex);
+                answer = m_answer;
+            }
+            return answer(connection, id);
         }
         const auto body = !isProbe ? "hi" : text.find("/health ") != std::string::npos ? health : load;
         connection.send(fmt::format("HTTP/1.1 200 OK\r\nAcaciaslip-Request: {}\r\nContent-Length: {}\r\n"
@@ -117,6 +136,8 @@
                 found->second.size(), found->second));
     }
 
+    std::mutex m_mutex;
+    answer_function m_answer;
     transport::loop_test_server m_soundServer { [this](raw_socket& connection) { serve(connection, true); } };
     transport::loop_test_server m_faultyServer { [this](raw_socket& connection) { serve(connection, false); } };
     const std::map<std::string, std::string> m_values {
@@ -141,11 +162,11 @@
 /// Guards against a server that does not end its answers and takes the memory of all requests on the node.
 TEST_F(node_daemon_server_fault_test, Answers_WithoutEnd_MemoryIsLimitedAndOthersAreServed)
 {
-    m_answer = [this](raw_socket& connection, const std::string& head) {
-        connection.send(head + "Content-Length: 8000000\r\n\r\n");
+    setAnswer([this](raw_socket& connection, const std::string& id) {
+        connection.send(echo("200", id) + "Content-Length: 8000000\r\n\r\n");
         for (int part = 0; part < 1000 && !m_stopping; ++part)
             connection.send(std::string(8000, 'x'));
-    };
+    });
     start();
     std::vector<std::thread> callers;
     std::atomic<int> refused = 0;
@@ -178,10 +199,10 @@
 /// Guards against part of a body that reaches the caller as the whole of it.
 TEST_F(node_daemon_server_fault_test, Answer_ResetWhileUploadIsWritten_IsNotPassedOn)
 {
-    m_answer = [](raw_socket& connection, const std::string& head) {
-        connection.send(head + "\r\npart");
+    setAnswer([](raw_socket& connection, const std::string& id) {
+        connection.send(echo("200", id) + "\r\npart");
         connection.reset();
-    };
+    });
     start();
     for (int round = 0; round < 10; ++round)
         EXPECT_THAT(request("PUT /a", std::string(4 * megabyte, 'x')), Not(HasSubstr("part")));
@@ -190,14 +211,13 @@
 
 TEST_F(node_daemon_server_fault_test, Answer_StatusOrFieldNameMalformed_IsNotPassedOn)
 {
-    std::string start;
-    m_answer = [&start](raw_socket& connection, const std::string& head) {
-        connection.send(start + head.substr(head.find("\r\n") + 2) + "A b: c\r\nContent-Length: 4\r\n\r\npart");
-    };
-    this->start();
-    for (const auto* line : { "HTTP/1.1 000 OK\r\n", "HTTP/1.1 200 OK\r\n" }) {
-        start = line;
-        EXPECT_THAT(request("GET /a"), Not(HasSubstr("part"))) << line;
+    start();
+    for (const auto& [status, field] :
+        { std::pair { "000", "" }, std::pair { "200", "A b: c\r\n" }, std::pair { "200", "A\x01: c\r\n" } }) {
+        setAnswer([status = status, field = field](raw_socket& connection, const std::string& id) {
+            connection.send(echo(status, id) + field + "Content-Length: 4\r\n\r\npart");
+        });
+        EXPECT_THAT(request("GET /a"), Not(HasSubstr("part"))) << status << field;
     }
     EXPECT_GT(m_faultyAnswers, 0);
 }
