--- a/tests/transport/loop/caller_server_test.cpp
+++ b/tests/transport/loop/caller_server_test.cpp
@@ -135,6 +135,25 @@
     EXPECT_TRUE(runUntil([this] { return m_client->closed; }));
 }
 
+/// Guards against a body without a length that the end of the process cuts off and the caller takes for a complete one.
+TEST_F(caller_server_test, Answer_WithoutLengthCutOff_ConnectionIsReset)
+{
+    constexpr std::size_t largerThanBuffers = 33554432;
+    send(requestBytes, 1);
+    m_client->stream->stopReading();
+    protocol::http::message unframed;
+    unframed.status = 200;
+    unframed.body.assign(largerThanBuffers, 'x');
+    unframed.closeDelimited = true;
+    m_server.answer({ m_arrived[0].id, {}, false }, unframed);
+    runFor(50ms);
+    m_server.close();
+    m_client->stream->startReading();
+    ASSERT_TRUE(runUntil([this] { return m_client->closed; }));
+    EXPECT_TRUE(m_client->reset);
+    EXPECT_LT(m_client->received.size(), largerThanBuffers);
+}
+
 TEST_F(caller_server_test, Caller_ClosesConnection_RequestInProgressIsDropped)
 {
     send(requestBytes, 1);
--- a/tests/transport/loop/loop_fixture.hpp
+++ b/tests/transport/loop/loop_fixture.hpp
@@ -22,6 +22,7 @@
     std::shared_ptr<tcp_stream> stream;
     std::string received;
     bool closed = false;
+    bool reset = false; ///< closed otherwise than in good order
 };
 
 /// Returns stream callbacks that record received bytes and the end of the stream in a test_connection. `changed` is
@@ -36,7 +37,7 @@
         changed();
     };
     callbacks.endOfStream = [end] { end->closed = true; };
-    callbacks.failed = [end](int) { end->closed = true; };
+    callbacks.failed = [end](int) { end->closed = end->reset = true; };
     return callbacks;
 }
 
