--- a/src/coordination/gateway/fleet_relay.cpp
+++ b/src/coordination/gateway/fleet_relay.cpp
@@ -20,7 +20,7 @@
 /// Time for which answers are unreadable until this host reads the store itself. Far below the time in which a change
 /// must take effect.
 constexpr state::duration unreadablePatience = std::chrono::milliseconds { 300 };
-/// Delay of the next fetch once answers stay unreadable; a link may be thin, and the answer large.
+/// Delay of the next fetch once answers stay unreadable. It limits the bandwidth spent on large answers of no use.
 constexpr state::duration unreadableFetchDelay = std::chrono::seconds { 1 };
 /// Time after the latest unreadable answer until the host relies on its peers again.
 constexpr state::duration unreadableExpiry = std::chrono::seconds { 60 };
--- a/src/coordination/gateway/fleet_relay.hpp
+++ b/src/coordination/gateway/fleet_relay.hpp
@@ -22,8 +22,8 @@
 /// Fetches changes that a peer has, unless they have arrived from the store in the meantime.
 void processFetches(gateway_node& self, state::time_point now, effect_list& effects);
 
-/// Whether this host cannot decode what its peers relay, and must read the store itself. Without that, the values that
-/// one host cannot decode would keep it from all later changes too.
+/// Whether this host cannot decode what its peers relay, and must read the store itself. Otherwise a single value that
+/// it cannot decode would also hide all later changes from it.
 [[nodiscard]] bool isRelayUnreadable(const gateway_node& self, state::time_point now) noexcept;
 
 /// When `processFetches` is next due; empty while no peer has a newer revision.
--- a/src/coordination/gateway/store_watch.cpp
+++ b/src/coordination/gateway/store_watch.cpp
@@ -162,7 +162,7 @@
         searchSpread * (std::log1p(position * (hosts + 1)) / std::log1p(hosts + 1)));
 }
 
-/// Schedules a search while no watcher of the data centre is of use to this host.
+/// Schedules a search while this host cannot learn of changes from a watcher in its data centre.
 void planSearch(gateway_node& self, state::time_point now, random_generator& random)
 {
     if (hasUsableWatcher(self, now))
--- a/src/platform/item_reader.cpp
+++ b/src/platform/item_reader.cpp
@@ -29,7 +29,7 @@
 constexpr std::string_view configurationKey = "op/config";
 constexpr std::string_view evacuationPrefix = "op/evacuate/";
 constexpr int hexadecimal = 16;
-constexpr std::size_t maxNameBytes = 1024; ///< of the texts of an entry, since every host keeps and relays them
+constexpr std::size_t maxNameBytes = 1024; ///< of a service or zone name; limits the size of peer messages
 
 bool draining(const json& status)
 {
--- a/src/protocol/gateway_codec/known_peers.hpp
+++ b/src/protocol/gateway_codec/known_peers.hpp
@@ -19,7 +19,7 @@
 void unpackPeers(std::string_view packed, const std::vector<std::string>& dataCentres,
     std::vector<state::gateway::known_peer>& peers);
 
-/// Makes a peer from the numbers of a message.
+/// Converts the encoded fields of one peer.
 /// \param ip in host byte order
 /// \param dataCentre index in `dataCentres`
 /// \param age in tenths of a second
--- a/src/protocol/gateway_codec/numbers.hpp
+++ b/src/protocol/gateway_codec/numbers.hpp
@@ -10,7 +10,7 @@
 #include <string>
 #include <string_view>
 
-/// Conversions between the numbers of messages between gateway nodes and those of the program.
+/// Conversion of integers, durations and times to and from their encoding in peer messages.
 namespace acaciaslip::protocol::gateway_codec {
 
 [[nodiscard]] inline std::int64_t toMicroseconds(state::duration span)
@@ -32,8 +32,8 @@
     return static_cast<Number>(number);
 }
 
-/// Thrift has no unsigned integers: a number is sent as the signed one with the same bits, so that every value of the
-/// platform's settings arrives unchanged.
+/// Reinterprets the bits of an unsigned number, since Thrift has only signed integers. Every value survives the round
+/// trip.
 [[nodiscard]] inline std::int32_t toSigned(std::uint32_t number) noexcept
 {
     return std::bit_cast<std::int32_t>(number);
--- a/src/transport/loop/caller_connection.hpp
+++ b/src/transport/loop/caller_connection.hpp
@@ -38,13 +38,14 @@
     std::function<std::string(int status, std::string_view reason)> makeRefusal;
 };
 
-/// What becomes of a connection after an answer.
+/// Whether and when a connection is closed after an answer.
 enum class connection_persistence {
     keep_alive,
-    /// No further requests are read, and the connection is closed once those in progress are answered. Only the last of
-    /// the answers announces it, since a caller treats requests behind an answer that closes as not read.
+    /// Reads no further requests and closes the connection once those in progress are answered. Only the last answer
+    /// carries "Connection: close", because callers assume that requests after such an answer were not read.
     close_after_requests,
-    /// The end of the connection is what ends the answer. Requests behind it are dropped.
+    /// Closes the connection right after the answer, whose body is delimited by the end of the connection. Later
+    /// requests in progress are dropped.
     ends_answer,
 };
 
@@ -62,7 +63,7 @@
 
     /// Sends the answer to a request, after the answers to earlier requests.
     /// \param write encodes the answer; called once, before this function returns
-    /// \param persistence what becomes of the connection
+    /// \param persistence whether and when the connection is closed
     /// \param held kept until the answer has been written; see `tcp_stream::write`
     void answer(state::request_id id, const answer_writer& write, connection_persistence persistence,
         std::shared_ptr<const void> held = {});
--- a/src/transport/loop/node_daemon.cpp
+++ b/src/transport/loop/node_daemon.cpp
@@ -26,7 +26,7 @@
 constexpr state::duration platformTimeoutMargin
     = std::chrono::milliseconds { 1000 }; ///< added to the requested long-poll wait
 constexpr protocol::http::message_limits fetchLimits { 65536, 16ULL * 1024 * 1024 };
-constexpr protocol::http::message_limits probeLimits { 8192, 65536 }; ///< the answers are a few numbers
+constexpr protocol::http::message_limits probeLimits { 8192, 65536 }; ///< reports are short JSON objects
 constexpr std::uint64_t defaultMemoryDivisor = 2; ///< leaves memory to the other processes of a host
 constexpr int statusOk = 200;
 constexpr int statusNotModified = 304;
--- a/src/transport/loop/socket_state.cpp
+++ b/src/transport/loop/socket_state.cpp
@@ -41,11 +41,11 @@
     if (::getsockopt(socket, SOL_SOCKET, SO_ERROR, &error, &size) != 0)
         return 0;
     if (error == EPIPE)
-        return 0; // the reset followed the peer's end of stream
+        return 0; // the peer had shut down its side before the reset
     if (error != 0)
         return uv_translate_sys_error(error);
-    // A write that failed has already taken the error from the socket. After this side's shutdown no write can fail,
-    // and a connection that both sides have ended is in the same state.
+    // A failed write clears the pending error, but TCP_CLOSE still shows the reset. After a shutdown of this side the
+    // state proves nothing: it is also reached when both sides have shut down.
     return !isShutDown && connectionState(socket) == TCP_CLOSE ? UV_ECONNRESET : 0;
 }
 
--- a/src/transport/loop/socket_state.hpp
+++ b/src/transport/loop/socket_state.hpp
@@ -8,10 +8,10 @@
 /// Returns whether a read would not block: bytes, the end of the stream or an error are pending.
 [[nodiscard]] bool isInputPending(int socket);
 
-/// Tells, at the end of a stream, whether the connection was reset before the peer ended its stream.
-/// Takes the pending error from the socket.
+/// Finds out, at the end of a stream, whether the peer had reset the connection instead of shutting down its side.
+/// Clears the pending error of the socket.
 /// \param isShutDown whether this side has ended its own stream
-/// \return the libuv error code, or 0 if the peer ended its stream first
+/// \return the libuv error code, or 0 if the peer had shut down its side
 [[nodiscard]] int findReset(int socket, bool isShutDown);
 
 } // namespace acaciaslip::transport::loop
--- a/src/transport/loop/tcp_stream.cpp
+++ b/src/transport/loop/tcp_stream.cpp
@@ -190,8 +190,8 @@
     }
 }
 
-/// libuv also reports an end of stream when a read has returned the last bytes of a connection that has been reset
-/// since.
+/// Handles an end of stream reported by libuv, which may in fact be a reset: after a read that does not fill its
+/// buffer, libuv reports the end without another read if the connection has hung up.
 void tcp_stream::handleEnd()
 {
     const int reset = findReset(descriptor(), m_isShutDown);
--- a/tests/platform/item_reader_test.cpp
+++ b/tests/platform/item_reader_test.cpp
@@ -76,7 +76,7 @@
     }
 }
 
-/// Guards against an entry that the hosts which read the store accept, but cannot relay to the others.
+/// Guards against an entry that is accepted from the store but rejected by peers.
 TEST_F(item_reader_test, Entry_LargestNumbers_ReachesPeers)
 {
     auto text = json::parse(entryText);
@@ -100,7 +100,7 @@
     }
 }
 
-/// Guards against an entry to which no connection is possible, and which is probed without end.
+/// Guards against endless probes of a server whose address is invalid.
 TEST_F(item_reader_test, Entry_AddressUnusable_IsRejected)
 {
     for (const auto* address :
@@ -111,7 +111,7 @@
     }
 }
 
-/// Guards against entries that are too large together for what one host sends another.
+/// Guards against entries that together exceed the size limit of a peer message.
 TEST_F(item_reader_test, Entry_NameVeryLong_IsRejected)
 {
     for (const auto* field : { "service", "zone" }) {
--- a/tests/transport/loop/caller_server_test.cpp
+++ b/tests/transport/loop/caller_server_test.cpp
@@ -81,7 +81,7 @@
     EXPECT_LT(m_client->received.find("first"), m_client->received.find("second"));
 }
 
-/// Guards against a planned stop that drops requests at which servers are at work.
+/// Guards against a graceful shutdown that drops requests which servers are executing.
 TEST_F(caller_server_test, Requests_PipelinedWhileLeaving_AllAreAnsweredAndLastAnnouncesClose)
 {
     send(std::string(requestBytes) + requestBytes, 2);
--- a/tests/transport/loop/endless_bytes_test.cpp
+++ b/tests/transport/loop/endless_bytes_test.cpp
@@ -100,7 +100,7 @@
     EXPECT_TRUE(serverConnectionsClose());
 }
 
-/// The connections of a node to a server whose answers do not end.
+/// Connections of `serve` to a server that sends endless answers.
 class attempt_endless_bytes_test : public loop_fixture {
 protected:
     attempt_endless_bytes_test()
--- a/tests/transport/loop/node_caller_server_test.cpp
+++ b/tests/transport/loop/node_caller_server_test.cpp
@@ -438,7 +438,7 @@
     EXPECT_EQ(openConnections(), 0U);
 }
 
-/// Guards against a planned stop that drops requests at which servers are at work.
+/// Guards against a graceful shutdown that drops requests which servers are executing.
 TEST_F(node_caller_server_test, Stop_WithPipelinedRequests_AllAreAnsweredAndLastAnnouncesClose)
 {
     m_holdAnswers = true;
--- a/tests/transport/loop/node_daemon_server_fault_test.cpp
+++ b/tests/transport/loop/node_daemon_server_fault_test.cpp
@@ -20,8 +20,8 @@
 
 constexpr std::uint64_t megabyte = 1048576;
 
-/// A complete node with a platform and two services: one whose server is sound, and one whose server answers as the
-/// test says.
+/// A complete node with a stand-in platform and two services. The server of one is healthy; that of the other sends
+/// the answers that the test sets.
 class node_daemon_server_fault_test : public testing::Test {
 protected:
     node_daemon_server_fault_test()
@@ -198,7 +198,7 @@
     EXPECT_THAT(request("GET /sound"), HasSubstr("HTTP/1.1 200"));
 }
 
-/// Guards against part of a body that reaches the caller as the whole of it.
+/// Guards against a truncated body that reaches the caller as a complete one.
 TEST_F(node_daemon_server_fault_test, Answer_ResetWhileUploadIsWritten_IsNotPassedOn)
 {
     setAnswer([](raw_socket& connection, const std::string& id) {
--- a/tests/transport/loop/reset_answer_test.cpp
+++ b/tests/transport/loop/reset_answer_test.cpp
@@ -12,7 +12,8 @@
 constexpr const char* unframedAnswer = "HTTP/1.1 200 OK\r\n\r\npart of the body";
 constexpr std::size_t uploadBytes = 33554432; ///< more than the buffers of a connection hold
 
-/// A server ends its answer while the loop is held up, so that the loop finds bytes and the end at the same time.
+/// The server ends its answer while the event loop does not run, so that the last bytes and the end of the connection
+/// are both pending when the loop polls.
 class reset_answer_test : public loop_fixture {
 protected:
     reset_answer_test()
@@ -54,7 +55,7 @@
     std::optional<connection_failure> m_failure;
 };
 
-/// Guards against a part of a body that is passed on as the whole of it.
+/// Guards against a truncated body that counts as complete.
 TEST_F(reset_answer_test, Answer_ResetWhileRequestIsWritten_IsTruncated)
 {
     exchange(std::string(uploadBytes, 'x'), [](raw_socket& server) {
