Let a stand-in of a test accept connections that end before a request

The node closes connections of fetches that are still connecting, as it should; the stand-in searched the empty text for a key.

Change: the stand-ins return when the head of a request is incomplete. An empty connection no longer counts as a request to the faulty server either, so the check that requests reached it has become stricter.

--- a/tests/transport/loop/node_daemon_server_fault_test.cpp
+++ b/tests/transport/loop/node_daemon_server_fault_test.cpp
@@ -6,6 +6,7 @@
 #include <csignal>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <thread>
 
 #include <fmt/format.h>
@@ -98,13 +99,23 @@
     state::node_settings m_settings;
 
 private:
+    /// Reads the head of a request.
+    /// \return nothing if the connection ended first: a node that stops closes connections before it has used them
+    static std::optional<std::string> readHead(raw_socket& connection)
+    {
+        auto text = connection.readUntil("\r\n\r\n");
+        return text.ends_with("\r\n\r\n") ? std::optional(std::move(text)) : std::nullopt;
+    }
+
     void serve(raw_socket& connection, bool isSound)
     {
         constexpr std::string_view health = "{\"state\":\"live\"}";
         constexpr std::string_view load = "{\"boot\":\"1\",\"in_flight\":0,\"queued\":0,\"slots\":400}";
-        const auto text = connection.readUntil("\r\n\r\n");
-        const bool isProbe = text.find(" /acaciaslip/") != std::string::npos;
-        const auto id = findHeader(text, "Acaciaslip-Request");
+        const auto head = readHead(connection);
+        if (!head)
+            return;
+        const bool isProbe = head->find(" /acaciaslip/") != std::string::npos;
+        const auto id = findHeader(*head, "Acaciaslip-Request");
         if (!isProbe && !isSound) {
             ++m_faultyAnswers;
             answer_function answer;
@@ -114,7 +125,7 @@
             }
             return answer(connection, id);
         }
-        const auto body = !isProbe ? "hi" : text.find("/health ") != std::string::npos ? health : load;
+        const auto body = !isProbe ? "hi" : head->find("/health ") != std::string::npos ? health : load;
         connection.send(fmt::format("HTTP/1.1 200 OK\r\nAcaciaslip-Request: {}\r\nContent-Length: {}\r\n"
                                     "Connection: close\r\n\r\n{}",
             id, body.size(), body));
@@ -122,10 +133,12 @@
 
     void publish(raw_socket& connection) const
     {
-        const auto text = connection.readUntil("\r\n\r\n");
-        const auto key = text.substr(text.find("values/") + 7, text.find('?') - text.find("values/") - 7);
-        const auto found = m_values.find(key);
-        const bool isKnown = text.find("after=0&") == std::string::npos;
+        const auto head = readHead(connection);
+        if (!head)
+            return;
+        const auto keyStart = head->find("values/") + 7;
+        const auto found = m_values.find(head->substr(keyStart, head->find('?') - keyStart));
+        const bool isKnown = head->find("after=0&") == std::string::npos;
         for (int wait = 0; isKnown && wait < 20 && !m_stopping; ++wait)
             std::this_thread::sleep_for(10ms);
         if (isKnown || found == m_values.end())
