List the node itself in the host list of a test

One of 180 runs of a node_daemon_server_fault_test did not serve a request within 10 s. Its host list named no entry hosts, so the node shared the platform's call budget with 512 assumed ones: two calls a second, which the watches of values already read compete for. That run had no trace; of 192 runs with one, half took 2.6 s or less, the slowest 8.8 s, each of them waiting for the call budget before its last value.

Change: the list names the node, as a platform's list does.

--- a/tests/transport/loop/node_daemon_server_fault_test.cpp
+++ b/tests/transport/loop/node_daemon_server_fault_test.cpp
@@ -159,8 +159,11 @@
             "lookup:\n  parameters: [name, path]\n"
             "  service: {name: $name, path_prefix: $path, slots: 400, timeout_ms: 3000, hedge: off}\n" },
         { "acaciaslip/data_centres", "out: []\n" },
+        // Lists the node itself. A node that is not listed shares the call budget of the platform with 512 assumed
+        // hosts, and may read values for ten seconds before it serves.
         { "acaciaslip/hosts",
-            fmt::format("- {{id: s1, address: '{}', data_centre: dc-a, kind: server, team: t, service: sound}}\n"
+            fmt::format("- {{id: entry-a1, data_centre: dc-a, kind: entry}}\n"
+                        "- {{id: s1, address: '{}', data_centre: dc-a, kind: server, team: t, service: sound}}\n"
                         "- {{id: s2, address: '{}', data_centre: dc-a, kind: server, team: t, service: faulty}}\n",
                 m_soundServer.address(), m_faultyServer.address()) },
         { "acaciaslip/teams/t",
