--- a/src/protocol/gateway_codec/numbers.hpp
+++ b/src/protocol/gateway_codec/numbers.hpp
@@ -52,12 +52,18 @@
     return std::chrono::microseconds { microseconds };
 }
 
-[[nodiscard]] inline state::time_point toFleetTime(std::int64_t microseconds)
+/// Converts the age of a process or of a fleet, which is longer than any configured duration.
+[[nodiscard]] inline state::duration toAge(std::int64_t microseconds)
 {
-    constexpr std::int64_t maxMicroseconds = 1'000'000'000'000'000; // 30 years of a fleet without a stop
+    constexpr std::int64_t maxMicroseconds = 1'000'000'000'000'000; // 30 years without a stop
     if (microseconds < 0 || microseconds > maxMicroseconds)
-        throw range_error("fleet time out of range");
-    return state::time_point { std::chrono::microseconds { microseconds } };
+        throw range_error("age out of range");
+    return std::chrono::microseconds { microseconds };
+}
+
+[[nodiscard]] inline state::time_point toFleetTime(std::int64_t microseconds)
+{
+    return state::time_point { toAge(microseconds) };
 }
 
 /// Appends a number in network byte order.
--- a/src/protocol/gateway_codec/reports.cpp
+++ b/src/protocol/gateway_codec/reports.cpp
@@ -29,12 +29,12 @@
     return digest;
 }
 
-constexpr double maxAmount = 1e12; ///< beyond any number of requests in a window
+using fleet::maxReportedAmount;
 
 /// Rejects numbers that no host computes, so that one datagram cannot upset what is learned from all.
 double checkedAmount(double amount, double minimum)
 {
-    if (!std::isfinite(amount) || amount < minimum || amount > maxAmount)
+    if (!std::isfinite(amount) || amount < minimum || amount > maxReportedAmount)
         throw range_error("amount out of range");
     return amount;
 }
@@ -141,8 +141,8 @@
     report.newlyAdmitted = toUnsigned(wireStruct.newlyAdmitted);
     report.newlyRefused = toUnsigned(wireStruct.newlyRefused);
     if (wireStruct.__isset.level && wireStruct.__isset.demand && wireStruct.__isset.knownFor)
-        report.keeper = { checkedAmount(wireStruct.level, -maxAmount), checkedAmount(wireStruct.demand, 0),
-            toDuration(wireStruct.knownFor) };
+        report.keeper = { checkedAmount(wireStruct.level, -maxReportedAmount), checkedAmount(wireStruct.demand, 0),
+            toAge(wireStruct.knownFor) };
     return report;
 }
 
@@ -161,7 +161,7 @@
     if (!std::isfinite(wireStruct.ratio) || wireStruct.ratio < 0 || wireStruct.ratio > 1)
         throw range_error("ratio out of range");
     return { std::bit_cast<std::uint64_t>(wireStruct.team), wireStruct.ratio, toDuration(wireStruct.retryAfter),
-        toDuration(wireStruct.knownFor) };
+        toAge(wireStruct.knownFor) };
 }
 
 } // namespace acaciaslip::protocol::gateway_codec
--- a/src/state/gateway/allowance_messages.hpp
+++ b/src/state/gateway/allowance_messages.hpp
@@ -11,9 +11,12 @@
 /// Identifies a team in messages between hosts: a digest of its name, so that long names do not fill datagrams.
 using team_digest = std::uint64_t;
 
-/// The longest entries take 63 and 33 bytes, the rest of a heartbeat 120 of its 1,400.
-inline constexpr std::size_t maxReportsPerDatagram = 18;
-inline constexpr std::size_t maxNoticesPerDatagram = 36;
+/// The longest entries take 73 and 36 bytes, the rest of a heartbeat 120 of its 1,400.
+inline constexpr std::size_t maxReportsPerDatagram = 17;
+inline constexpr std::size_t maxNoticesPerDatagram = 35;
+
+/// Largest amount of a keeper's state in a message; beyond any number of requests in a window.
+inline constexpr double maxReportedAmount = 1e12;
 
 /// What one keeper of a team's allowance knows beyond its counts.
 struct keeper_state {
--- a/tests/protocol/gateway_peer_codec_test.cpp
+++ b/tests/protocol/gateway_peer_codec_test.cpp
@@ -109,6 +109,18 @@
     EXPECT_EQ(*decoded, heartbeat);
 }
 
+/// Guards against a limit of a team that ends in all hosts once its keeper has run for eleven days.
+TEST_F(gateway_peer_codec_test, Heartbeat_KeeperHasRunForYears_IsEqual)
+{
+    constexpr state::duration years = 24h * 365 * 20;
+    auto heartbeat = makeHeartbeat();
+    heartbeat.allowanceReports = { { 7, 500, 40, 20, 10, state::gateway::keeper_state { -2.5, 31.5, years } } };
+    heartbeat.allowanceNotices = { { 7, 0.25, 1500ms, years } };
+    const auto decoded = decodeHeartbeat(encodeHeartbeat(heartbeat).value());
+    ASSERT_TRUE(decoded.ok()) << decoded.status();
+    EXPECT_EQ(*decoded, heartbeat);
+}
+
 /// Guards against a part of a team that is lost between hosts, such as a priority of 0.
 TEST_F(gateway_peer_codec_test, Delta_WithTeams_IsEqual)
 {
@@ -189,6 +201,7 @@
 {
     constexpr std::uint64_t most = std::numeric_limits<std::int64_t>::max();
     constexpr std::uint32_t mostNew = std::numeric_limits<std::int32_t>::max();
+    constexpr state::duration years = 24h * 365 * 20;
     state::gateway::peer_heartbeat reports;
     reports.sender = "255.255.255.255";
     reports.dataCentre = "a-data-centre-of-usual-length";
@@ -197,9 +210,8 @@
     reports.fleetTime = state::time_point { 7000h };
     auto notices = reports;
     reports.allowanceReports.assign(state::gateway::maxReportsPerDatagram,
-        { ~0ULL >> 1U, most, most, mostNew, mostNew, state::gateway::keeper_state { -1e9, 1e9, 7000h / 100 } });
-    notices.allowanceNotices.assign(
-        state::gateway::maxNoticesPerDatagram, { ~0ULL >> 1U, 0.123456789, 60s, 7000h / 100 });
+        { ~0ULL >> 1U, most, most, mostNew, mostNew, state::gateway::keeper_state { -1e9, 1e9, years } });
+    notices.allowanceNotices.assign(state::gateway::maxNoticesPerDatagram, { ~0ULL >> 1U, 0.123456789, 1h, years });
     EXPECT_TRUE(encodeHeartbeat(reports).ok());
     EXPECT_TRUE(encodeHeartbeat(notices).ok());
 }
