Report levels of huge allowances within the range of messages

Cause: a keeper reported the level of its bucket as it was, while peers reject amounts above 10^12 and with them the whole datagram. A team with a burst beyond that kept the reports of other teams from the keepers.

Change: the sender clamps level and demand to the range.

--- a/src/coordination/gateway/allowance_keeping.cpp
+++ b/src/coordination/gateway/allowance_keeping.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 using state::gateway::allowance_report;
+using state::gateway::maxReportedAmount;
 using state::gateway::peer_ip;
 using state::gateway::team_digest;
 
@@ -105,7 +106,8 @@
     report.refused = allowance.refused;
     report.newlyAdmitted = static_cast<std::uint32_t>(allowance.admitted - kept.reportedAdmitted);
     report.newlyRefused = static_cast<std::uint32_t>(allowance.refused - kept.reportedRefused);
-    report.keeper = { allowance.level, currentDemand(allowance, now), now - allowance.startedAt };
+    report.keeper = { std::clamp(allowance.level, -maxReportedAmount, maxReportedAmount),
+        std::min(currentDemand(allowance, now), maxReportedAmount), now - allowance.startedAt };
     kept.reportedAdmitted = allowance.admitted;
     kept.reportedRefused = allowance.refused;
     return report;
--- a/tests/coordination/gateway/team_allowance_fleet_test.cpp
+++ b/tests/coordination/gateway/team_allowance_fleet_test.cpp
@@ -1,5 +1,8 @@
 #include "coordination/gateway/allowance_exchange.hpp"
 #include "coordination/gateway/allowance_fleet.hpp"
+#include "coordination/gateway/allowance_keeping.hpp"
+
+#include <cmath>
 
 #include <gtest/gtest.h>
 
@@ -60,5 +63,22 @@
     }
 }
 
+/// Guards against one team's allowance that makes other hosts reject the reports of all teams in a message.
+TEST(team_allowance_test, KeeperReport_OfHugeAllowance_IsWithinRangeOfMessages)
+{
+    allowance_fleet fleet { 3, { allowance_fleet::makeTeam("t", 9e15, 9e15) } };
+    fleet.run("t", 100, 2s);
+    std::size_t reports = 0;
+    for (auto& [ip, node] : fleet.hosts.nodes) {
+        for (auto& [team, kept] : node.allowances.kept) {
+            const auto report = makeKeeperReport(kept, team, fleet.hosts.now);
+            EXPECT_LE(std::abs(report.keeper->level), state::gateway::maxReportedAmount);
+            EXPECT_LE(report.keeper->demand, state::gateway::maxReportedAmount);
+            ++reports;
+        }
+    }
+    EXPECT_GT(reports, 0U);
+}
+
 } // namespace
 } // namespace acaciaslip::coordination::gateway
