Replace long boot ids by their digests

Cause: serve read boot ids of any length from its servers and sent them to its peers, whose messages allow 128 bytes. A longer one made encoding fail, and the message was dropped without a trace: one server's report silenced a node towards its peers.

Change: a longer boot id is replaced by its digest where the report is read. Boot ids are only compared.

--- a/src/protocol/server_reports.cpp
+++ b/src/protocol/server_reports.cpp
@@ -1,9 +1,13 @@
 #include "protocol/server_reports.hpp"
 
+#include "coordination/message_size.hpp"
+
 #include <limits>
 #include <string>
 
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
+#include <xxhash.h>
 
 namespace acaciaslip::protocol {
 
@@ -20,6 +24,15 @@
     return static_cast<std::uint32_t>(count);
 }
 
+/// Returns a boot id that fits in peer messages. Boot ids are only compared, so that a digest can replace a long one.
+std::string shortenBootId(const std::string& boot)
+{
+    if (boot.size() <= coordination::maxNameBytes)
+        return boot;
+    const auto digest = XXH3_128bits(boot.data(), boot.size());
+    return fmt::format("{:016x}{:016x}", digest.high64, digest.low64);
+}
+
 nlohmann::json parse(std::string_view text)
 {
     return nlohmann::json::parse(text, nullptr, /*allow_exceptions=*/false);
@@ -46,7 +59,8 @@
     const auto slots = readCount(root, "slots");
     if (!inFlight || !queued || !slots)
         return std::nullopt;
-    return coordination::reported_load { *inFlight, *queued, *slots, root["boot"].get<std::string>() };
+    return coordination::reported_load { *inFlight, *queued, *slots,
+        shortenBootId(root["boot"].get_ref<const std::string&>()) };
 }
 
 } // namespace acaciaslip::protocol
