Limit the revisions that serve reads from its platform

Cause: the header Revision could name any unsigned number. The largest one could not be replaced by any later value, and messages that list it could not be encoded, so that peers heard less of the node.

Change: the bounds of the index, 1 to 9 x 10^15, hold for the header too. A value with another revision is logged as value_refused and read again.

Test, which failed before (the node did not serve within 10 s): node_daemon_server_fault_test.HostList_RevisionOutOfRange_IsReadAgain.

--- a/src/protocol/published_values.cpp
+++ b/src/protocol/published_values.cpp
@@ -1,6 +1,7 @@
 #include "protocol/published_values.hpp"
 
 #include "protocol/host_list_reader.hpp"
+#include "protocol/http/message.hpp"
 
 #include <algorithm>
 #include <array>
@@ -15,7 +16,7 @@
 constexpr std::array<std::string_view, 2> teamKeys { "team", "services" };
 constexpr std::array<std::string_view, 5> knownKeys { "acaciaslip/index", "acaciaslip/templates",
     "acaciaslip/data_centres", "acaciaslip/hosts", "acaciaslip/teams/TEAM" };
-constexpr number_bounds revisionBounds { 1, 9e15, "(a revision)" };
+constexpr number_bounds revisionBounds { 1, static_cast<double>(maxRevision), "(a revision)" };
 
 void readIndex(parsed_value& value, const located_value& root)
 {
@@ -95,6 +96,12 @@
     return std::nullopt;
 }
 
+std::optional<state::revision> parseRevision(std::string_view text)
+{
+    const auto number = http::parseUnsigned(text);
+    return number && *number >= 1 && *number <= maxRevision ? number : std::nullopt;
+}
+
 void parseValue(parsed_value& value, std::string_view key, std::string name, std::string_view body)
 {
     const auto kind = findValueKind(key);
--- a/src/protocol/published_values.hpp
+++ b/src/protocol/published_values.hpp
@@ -22,6 +22,13 @@
 inline constexpr std::string_view hostsKey = "acaciaslip/hosts";
 inline constexpr std::string_view teamKeyPrefix = "acaciaslip/teams/";
 
+/// Largest revision of a value. Larger ones would not fit in the signed numbers of peer messages.
+inline constexpr state::revision maxRevision = 9'000'000'000'000'000;
+
+/// Parses the revision that the platform sends with a value.
+/// \return the revision, or nothing if the text is not a whole number from 1 to `maxRevision`
+[[nodiscard]] std::optional<state::revision> parseRevision(std::string_view text);
+
 /// Returns the content of the value at a key, or nothing for an unknown key.
 [[nodiscard]] std::optional<value_kind> findValueKind(std::string_view key);
 
--- a/src/transport/loop/node_daemon.cpp
+++ b/src/transport/loop/node_daemon.cpp
@@ -32,6 +32,13 @@
 constexpr int statusNotModified = 304;
 constexpr int statusNotFound = 404;
 
+coordination::log_event describeMalformedRevision(const state::value_key& key, std::string_view text)
+{
+    return { coordination::log_level::warning, "value_refused",
+        { { "key", key }, { "revision", std::string(text) },
+            { "why", fmt::format("the revision is not a whole number from 1 to {}", protocol::maxRevision) } } };
+}
+
 caller_limits makeCallerLimits(const state::node_settings& settings)
 {
     caller_limits limits;
@@ -202,8 +209,10 @@
             std::optional<coordination::value_received> received;
             if (answer && answer->status == statusOk) {
                 const auto text = protocol::http::findHeader(*answer, "Revision").value_or("");
-                if (const auto number = protocol::http::parseUnsigned(text))
+                if (const auto number = protocol::parseRevision(text))
                     received = { wanted.key, *number, answer->body, wanted.source, wanted.address, wanted.requestedAt };
+                else
+                    log(describeMalformedRevision(wanted.key, text));
             } else if (answer && (answer->status == statusNotModified || answer->status == statusNotFound)) {
                 received = { wanted.key, 0, {}, wanted.source, wanted.address, wanted.requestedAt };
             }
--- a/tests/transport/loop/node_daemon_server_fault_test.cpp
+++ b/tests/transport/loop/node_daemon_server_fault_test.cpp
@@ -95,6 +95,7 @@
     }
 
     std::atomic<int> m_faultyAnswers = 0;
+    std::atomic<int> m_malformedRevisions = 0; ///< answers to come with an empty host list of the largest revision
     std::atomic<bool> m_stopping = false;
     state::node_settings m_settings;
 
@@ -131,7 +132,7 @@
             id, body.size(), body));
     }
 
-    void publish(raw_socket& connection) const
+    void publish(raw_socket& connection)
     {
         const auto head = readHead(connection);
         if (!head)
@@ -139,6 +140,11 @@
         const auto keyStart = head->find("values/") + 7;
         const auto found = m_values.find(head->substr(keyStart, head->find('?') - keyStart));
         const bool isKnown = head->find("after=0&") == std::string::npos;
+        if (!isKnown && found != m_values.end() && found->first == "acaciaslip/hosts" && m_malformedRevisions > 0) {
+            --m_malformedRevisions;
+            return connection.send("HTTP/1.1 200 OK\r\nRevision: 18446744073709551615\r\nContent-Length: 2\r\n"
+                                   "Connection: close\r\n\r\n[]");
+        }
         for (int wait = 0; isKnown && wait < 20 && !m_stopping; ++wait)
             std::this_thread::sleep_for(10ms);
         if (isKnown || found == m_values.end())
@@ -240,5 +246,13 @@
     EXPECT_GT(m_faultyAnswers, 0);
 }
 
+/// Guards against a revision that no later one can replace, and that keeps a node's messages from its peers.
+TEST_F(node_daemon_server_fault_test, HostList_RevisionOutOfRange_IsReadAgain)
+{
+    m_malformedRevisions = 2;
+    start();
+    EXPECT_EQ(m_malformedRevisions, 0);
+}
+
 } // namespace
 } // namespace acaciaslip::transport::loop
