Send heartbeats without crash reports that exceed a datagram

Cause: crash reports were left out of a heartbeat that is too large only beside a change of the fleet or a server's limit.

Change: combinations of parts are tried in order until one fits; the list of peers is the last to go.

Test, which failed before (no heartbeat arrived within 5 s): peer_transport_test.Heartbeat_CrashesOfLongServerIds_ArrivesWithoutThem.

--- a/src/transport/loop/peer_transport.cpp
+++ b/src/transport/loop/peer_transport.cpp
@@ -2,6 +2,7 @@
 
 #include "protocol/gateway_peer_codec.hpp"
 
+#include <array>
 #include <utility>
 
 #include <fmt/format.h>
@@ -15,6 +16,49 @@
 /// Bytes that must arrive within a fetch's patience. Two transfers at a time on a link of 1 Mbit/s are faster.
 constexpr std::uint64_t minFetchBytes = 32768;
 
+/// Parts of a heartbeat that are left out.
+struct omission {
+    bool delta = false; ///< the receiver fetches it over HTTP
+    bool crashes = false; ///< they are sent again with a later heartbeat
+    bool limits = false;
+    bool peers = false;
+};
+
+/// In the order in which they are tried. The ids of servers, in crashes and limits, may be long.
+constexpr std::array<omission, 6> omissions { {
+    { .crashes = true },
+    { .delta = true },
+    { .delta = true, .limits = true },
+    { .delta = true, .crashes = true },
+    { .delta = true, .crashes = true, .limits = true },
+    { .delta = true, .crashes = true, .limits = true, .peers = true },
+} };
+
+state::gateway::peer_heartbeat leaveOut(const omission& omitted, state::gateway::peer_heartbeat message)
+{
+    if (omitted.delta)
+        message.delta.reset();
+    if (omitted.crashes)
+        message.crashes.clear();
+    if (omitted.limits)
+        message.limits.clear();
+    if (omitted.peers)
+        message.peers.clear();
+    return message;
+}
+
+/// Encodes a heartbeat. One that is too large for a datagram is sent without some of its parts.
+absl::StatusOr<std::string> encodeInDatagram(const state::gateway::peer_heartbeat& message)
+{
+    auto datagram = protocol::encodeHeartbeat(message);
+    for (const auto& omitted : omissions) {
+        if (datagram.ok())
+            break;
+        datagram = protocol::encodeHeartbeat(leaveOut(omitted, message));
+    }
+    return datagram;
+}
+
 } // namespace
 
 peer_transport::peer_transport(uv_loop_t* loop, int datagramPort, int fetchPort, event_sink sink)
@@ -42,26 +86,7 @@
 
 void peer_transport::sendHeartbeat(const coordination::gateway::send_peer_message& wanted)
 {
-    auto message = wanted.message;
-    auto datagram = protocol::encodeHeartbeat(message);
-    if (!datagram.ok() && message.delta && !message.crashes.empty()) {
-        message.crashes.clear(); // they are sent again with a later heartbeat
-        datagram = protocol::encodeHeartbeat(message);
-    }
-    if (!datagram.ok() && message.delta) {
-        message.delta.reset(); // too large for a datagram: the peer fetches it over HTTP
-        datagram = protocol::encodeHeartbeat(message);
-    }
-    if (!datagram.ok() && !message.limits.empty()) {
-        message.limits.clear(); // server ids may be long
-        message.crashes.clear();
-        datagram = protocol::encodeHeartbeat(message);
-    }
-    if (!datagram.ok()) {
-        message.peers.clear();
-        datagram = protocol::encodeHeartbeat(message);
-    }
-    if (datagram.ok())
+    if (const auto datagram = encodeInDatagram(wanted.message); datagram.ok())
         m_socket.send(fmt::format("{}:{}", wanted.ip, m_datagramPort), *datagram);
 }
 
--- a/tests/transport/loop/peer_transport_test.cpp
+++ b/tests/transport/loop/peer_transport_test.cpp
@@ -94,5 +94,28 @@
     EXPECT_TRUE(m_heartbeats[0].limits.empty());
 }
 
+/// Guards against a host that others take for gone because its heartbeats exceed a datagram.
+TEST_F(peer_transport_test, Heartbeat_CrashesOfLongServerIds_ArrivesWithoutThem)
+{
+    state::gateway::peer_heartbeat heartbeat;
+    heartbeat.sender = "127.0.0.1";
+    heartbeat.dataCentre = "dc-a";
+    heartbeat.peers.assign(24, { "10.0.0.1", "dc-a", 1s });
+    heartbeat.limits = { { "s1", 1.5, state::time_point { 1h } } };
+    const state::gateway::server_crash crash { std::string(500, 's'), state::time_point { 1h },
+        state::time_point { 1h } };
+    heartbeat.crashes = { { { 1, 8 }, { crash, crash, crash }, std::nullopt, state::time_point { 1h },
+        state::gateway::digest_scope::exact, {} } };
+    m_transport.sendHeartbeat({ "127.0.0.1", heartbeat });
+    heartbeat.limits.clear();
+    m_transport.sendHeartbeat({ "127.0.0.1", heartbeat });
+    ASSERT_TRUE(runUntil([this] { return m_heartbeats.size() == 2; }));
+    EXPECT_EQ(m_heartbeats[0].limits.size(), 1U);
+    for (const auto& received : m_heartbeats) {
+        EXPECT_EQ(received.peers.size(), 24U);
+        EXPECT_TRUE(received.crashes.empty());
+    }
+}
+
 } // namespace
 } // namespace acaciaslip::transport::loop
