Fuzz the reports of servers of serve up to the message to peers

A report that can be read must also reach the peers; a long boot id broke this. The samples of the targets move into a file of their own.

--- a/fuzz/targets.cpp
+++ b/fuzz/targets.cpp
@@ -1,6 +1,7 @@
 #include "fuzz/targets.hpp"
 
 #include "coordination/gateway/node.hpp"
+#include "fuzz/samples.hpp"
 #include "platform/host_settings.hpp"
 #include "platform/http_format.hpp"
 #include "platform/item_reader.hpp"
@@ -9,6 +10,7 @@
 #include "protocol/http/message_parser.hpp"
 #include "protocol/peer_codec.hpp"
 #include "protocol/server_http_messages.hpp"
+#include "protocol/server_reports.hpp"
 
 #include <cmath>
 #include <cstdlib>
@@ -165,6 +167,20 @@
     require(protocol::encodeHeartbeat(*heartbeat).ok() || heartbeat->peers.size() > 1, "what was read can be written");
 }
 
+/// Reads a load report of a server of `serve`, and makes the message that tells peers of it.
+void readServerReport(const std::string& input, pcg32& /*random*/)
+{
+    (void)protocol::readHealth(input);
+    const auto load = protocol::parseLoad(input);
+    if (!load)
+        return;
+    state::peer_message message;
+    message.sender = "entry-1";
+    message.conditions = { { "s1", state::server_condition::cold, 1, load->bootId } };
+    const auto bytes = protocol::encodeDatagram(message);
+    require(bytes.ok() && protocol::decodeDatagram(*bytes).ok(), "what a server reports reaches the peers");
+}
+
 void readDelta(const std::string& input, pcg32& /*random*/)
 {
     const auto delta = protocol::decodeDelta(input);
@@ -178,71 +194,6 @@
     (void)protocol::decodeValueAnswer(input);
 }
 
-state::gateway::fleet_delta sampleDelta()
-{
-    using namespace std::chrono_literals;
-    state::gateway::fleet_delta delta { true, 0, {} };
-    delta.changes.asOf = 9;
-    auto& config = delta.changes.config.value.emplace();
-    delta.changes.config.revisionNumber = 1;
-    config.version = 3;
-    config.routes
-        = { { "r", "x", "/", state::gateway::request_kind::idempotent, 600ms, 1200ms, 2, 1, { { "a", 1 } } } };
-    config.services = { { "a", "/health", 100, 3s, 3.4 } };
-    config.teams = { { "t-1", { "k-1", "k-2" }, 1, 12.5, 40 }, { "t-2", { "k-3" }, {}, 0, 0 } };
-    auto& changes = delta.configChanges.emplace();
-    changes.revisionNumber = 6;
-    changes.version = 4;
-    changes.routes = config.routes;
-    changes.removedRoutes = { { "x", "/gone/" } };
-    changes.services = config.services;
-    changes.teams = config.teams;
-    changes.removedTeams = { "t-3" };
-    delta.changes.servers["s1"]
-        = { 2, state::gateway::server_entry { "s1", "a", "10.1.0.1:80", "a", 4, false, {}, 1 } };
-    delta.changes.servers["s2"] = { 4, std::nullopt };
-    delta.changes.evacuations["a"] = { 5, state::gateway::evacuation {} };
-    return delta;
-}
-
-std::string sampleHeartbeat()
-{
-    using namespace std::chrono_literals;
-    state::gateway::peer_heartbeat heartbeat;
-    heartbeat.sender = "10.0.0.9";
-    heartbeat.dataCentre = "a";
-    heartbeat.store = state::gateway::store_access::answers;
-    heartbeat.asOf = 9;
-    heartbeat.fleetTime = state::time_point { 7h };
-    heartbeat.peers = { { "10.0.0.7", "b", 1500ms }, { "10.0.0.8", "a", 300ms } };
-    heartbeat.limits = { { "s1", 1.5, state::time_point { 6h } }, { "s2", std::nullopt, state::time_point { 5h } } };
-    heartbeat.delta = sampleDelta();
-    return protocol::encodeHeartbeat(heartbeat).value_or("");
-}
-
-std::string sampleNodeMessage()
-{
-    state::peer_message message;
-    message.sender = "entry-1";
-    return protocol::encodeDatagram(message).value_or("");
-}
-
-const std::string configuration
-    = R"({"version":"0000000c","limits":{"max-header-bytes":16384,"idle-timeout":"15s"},"listeners":[{"host":"x.example",)"
-      R"("rules":[{"name":"r","kind":"idempotent","latency-slo":"300ms","priority":1,"match":{"path-prefix":"/a/"},)"
-      R"("action":{"split":[{"service":"a","weight":90},{"service":"b","weight":10}],"timeout":"1s","attempts":2}}]}],)"
-      R"("clusters":[{"name":"a","health-path":"/health","max-conns":220,"cold-start":"3s","cold-per-s":3.4}]})";
-const std::string teams
-    = R"({"version":"0000000d","limits":{"max-header-bytes":16384,"max-body-bytes":67108864,"header-timeout":"3s",)"
-      R"("idle-timeout":"15s"},"listeners":[{"host":"x.example","rules":[{"name":"r","kind":"idempotent",)"
-      R"("latency-slo":"300ms","match":{"path-prefix":"/a/"},"action":{"service":"a","timeout":"1s","attempts":2},)"
-      R"("anonymous":true}]}],"clusters":[{"name":"a","health-path":"/health","max-conns":220}],)"
-      R"("tenants":[{"name":"t-1","api-keys":["k-1","k-2"],"priority":1,"rate-per-s":12.5,"burst":40},)"
-      R"({"name":"t-2","api-keys":["k-3"]}]})";
-const std::string serverEntry
-    = R"({"address":"10.1.0.1:80","info":{"service":"a","version":"v1","zone":"z","max-concurrency":4},)"
-      R"("status":{"state":"ready","seq-no":1,"cold-left":"0ms"},"born":1})";
-
 } // namespace
 
 std::span<const target> allTargets()
@@ -275,7 +226,9 @@
               R"({"key":"op/evacuate/a","revision":6,"value":"e30="}]})",
                 R"({"as-of":9,"events":[{"key":"servers/i-1","revision":7,"compacted":true}]})" },
             json, readStoreItems },
-        { "store_values", { configuration, teams, serverEntry }, json, readStoreValues },
+        { "store_values",
+            { std::string(sampleConfiguration), std::string(sampleTeams), std::string(sampleServerEntry) }, json,
+            readStoreValues },
         { "settings",
             { "self: {node-name: host0, ip: 10.0.0.1, zone: a, limits: {memory-mb: 160}}\n"
               "network:\n  listen: {front: '10.0.0.1:1', ready: '10.0.0.1:2', control: '10.0.0.1:3'}\n"
@@ -283,6 +236,9 @@
               "platform: {platform: {address: '10.0.0.3:4'}}\n"
               "terms: {bounds: {grace: 4s, config-apply: 2s, retry-ratio: 0.2}}\n" },
             yaml, readSettings },
+        { "server_reports",
+            { fmt::format(R"({{"boot":"{}","in_flight":1,"queued":0,"slots":4}})", std::string(120, 'b')) }, json,
+            readServerReport },
         { "heartbeat", { sampleHeartbeat() }, bytes, readHeartbeat },
         { "fleet", { protocol::encodeDelta(sampleDelta()).value_or("") }, bytes, readDelta },
         { "node_messages", { sampleNodeMessage() }, bytes, readNodeMessages },
