--- a/src/state/gateway/allowance_messages.hpp
+++ b/src/state/gateway/allowance_messages.hpp
@@ -15,7 +15,7 @@
 inline constexpr std::size_t maxReportsPerDatagram = 17;
 inline constexpr std::size_t maxNoticesPerDatagram = 35;
 
-/// Largest amount of a keeper's state in a message; beyond any number of requests in a window.
+/// Largest level, in requests, and demand, in requests per second, of a keeper in a message. Real ones are far lower.
 inline constexpr double maxReportedAmount = 1e12;
 
 /// What one keeper of a team's allowance knows beyond its counts.
--- a/src/transport/loop/node_daemon.cpp
+++ b/src/transport/loop/node_daemon.cpp
@@ -32,7 +32,7 @@
 constexpr int statusNotModified = 304;
 constexpr int statusNotFound = 404;
 
-/// Reads the revision of a value in the platform's answer.
+/// \return the revision of the value in an answer of the platform, or why the answer cannot be used
 absl::StatusOr<state::revision> readRevision(const protocol::http::message& answer)
 {
     if (answer.closeDelimited)
