Answer 502 when a server's refusal proves nothing

Cause: to callers, 408, 421, 429 and 503 promise that a request has not run and never will. A host took a server's refusal for proof only with the header that says so, but returned the server's status unchanged in every other case, so that the caller booked again.

Evidence: the case's servers run the booking to its end and then answer 503 with its id and signature; the host's lines show outcome=answered status=503.

Change: such an answer is never returned. It counts as an attempt that may have run: a non-idempotent request ends with 502 (unproven_refusal), an idempotent one is tried on another server within its budget. The server counts as failing; its limit stays, and no service time is learned. Related paths: answers kept as the fallback, last attempts, and answers after a proven refusal go through the same check. `serve` stays as it is: its contract returns a server's answer whole, and the verdict, not the status, is the promise there.

--- a/src/coordination/gateway/request_flow.cpp
+++ b/src/coordination/gateway/request_flow.cpp
@@ -17,6 +17,7 @@
 #include "coordination/gateway/server_load.hpp"
 #include "coordination/gateway/shutdown.hpp"
 #include "coordination/gateway/team_admission.hpp"
+#include "coordination/gateway/unproven_refusal.hpp"
 
 #include <algorithm>
 
@@ -30,7 +31,6 @@
 using state::gateway::send_reason;
 
 constexpr int firstServerError = 500;
-constexpr int statusTooManyRequests = 429; ///< the server has not run the request
 /// Most requests take less than this multiple of their service's typical time.
 constexpr int likelyServiceTimes = 2;
 constexpr double serviceTimeWeight = 0.1; ///< weight of one response in a service's typical service time
@@ -83,6 +83,8 @@
         return;
     switch (finished.outcome) {
     case attempt_outcome::answered:
+        if (isUnprovenRefusal(finished))
+            return recordAnswer(*server, false, now);
         recordAnswer(*server, finished.status < firstServerError, now);
         return updateServiceTime(self, request, attempt, now);
     case attempt_outcome::shed:
@@ -102,6 +104,9 @@
 
 state::refusal_reason findReason(const pending_request& request)
 {
+    // Any other answer would have been returned or kept as the fallback.
+    if (request.lastOutcome == attempt_outcome::answered)
+        return state::refusal_reason::unproven_refusal;
     if (request.mayHaveRun)
         return state::refusal_reason::broken_answer;
     return request.lastOutcome == attempt_outcome::connect_failed ? state::refusal_reason::no_server
@@ -131,6 +136,11 @@
 void processAnswer(gateway_node& self, pending_request& request, const in_flight_attempt& attempt,
     const attempt_finished& finished, state::time_point now, random_generator& random, effect_list& effects)
 {
+    if (isUnprovenRefusal(finished)) {
+        request.mayHaveRun = true;
+        effects.emplace_back(discard_answer { attempt.id });
+        return retryOrRefuse(self, request, now, random, effects);
+    }
     const bool idempotent = request.matched->kind == state::gateway::request_kind::idempotent;
     if (finished.status < firstServerError || !idempotent)
         return endWithAnswer(self, request, { attempt.id, attempt.server }, now, effects);
@@ -248,7 +258,7 @@
     effects.emplace_back(describeAttempt(request, attempt, finished, now));
     recordServerBehaviour(self, request, attempt, finished, now);
     if (finished.outcome == attempt_outcome::answered && finished.status < firstServerError
-        && finished.status != statusTooManyRequests)
+        && !isUnprovenRefusal(finished))
         recordRequestAnswered(self, request.digests, now, effects);
     if (finished.outcome == attempt_outcome::cut)
         checkForCrash(self, request, attempt, now, effects);
--- a/src/coordination/gateway/server_limit.cpp
+++ b/src/coordination/gateway/server_limit.cpp
@@ -3,6 +3,7 @@
 #include "coordination/gateway/fleet_clock.hpp"
 #include "coordination/gateway/random_sample.hpp"
 #include "coordination/gateway/server_load.hpp"
+#include "coordination/gateway/unproven_refusal.hpp"
 
 #include <algorithm>
 #include <numeric>
@@ -111,7 +112,7 @@
         return;
     if (finished.limit.statement != header_statement::none)
         return recordNamedLimit(self, *known, finished.limit, "answer", now, effects);
-    if (answered && finished.status < firstServerError)
+    if (answered && finished.status < firstServerError && !isUnprovenRefusal(finished))
         setLimit(self, *known, std::nullopt, fleetTime(self, now), "answer", effects);
 }
 
--- a/src/protocol/node_http_messages.cpp
+++ b/src/protocol/node_http_messages.cpp
@@ -84,6 +84,7 @@
     case state::refusal_reason::deadline_exceeded:
         return statusGatewayTimeout;
     case state::refusal_reason::broken_answer:
+    case state::refusal_reason::unproven_refusal:
         return statusBadGateway;
     case state::refusal_reason::no_server:
     case state::refusal_reason::keys_outdated:
--- a/src/state/verdict.hpp
+++ b/src/state/verdict.hpp
@@ -58,9 +58,10 @@
     leaving, ///< this node is stopping (503)
     deadline_exceeded, ///< the deadline passed (504)
     broken_answer, ///< the server's answer was truncated, belonged to another request or was malformed (502)
+    unproven_refusal, ///< the server's status promises "not run", but the server may have run the request (502)
 };
 
-inline constexpr std::array<enum_name<refusal_reason>, 12> refusalReasonNames { {
+inline constexpr std::array<enum_name<refusal_reason>, 13> refusalReasonNames { {
     { refusal_reason::no_route, "no_route" },
     { refusal_reason::unknown_key, "unknown_key" },
     { refusal_reason::keys_outdated, "keys_outdated" },
@@ -73,6 +74,7 @@
     { refusal_reason::leaving, "leaving" },
     { refusal_reason::deadline_exceeded, "deadline_exceeded" },
     { refusal_reason::broken_answer, "broken_answer" },
+    { refusal_reason::unproven_refusal, "unproven_refusal" },
 } };
 
 /// Returns what the outcome of an attempt proves about the execution of the request.
