Soak: servers that refuse after they have run a request

The soak took only 503 for the promise that a request has not run, and no server of it refused a request that it had run. A server now answers 408, 429 or 503 without the header that proves it, as one of its faults, and the checker takes all four statuses for the promise.

--- a/soak/guarantees.hpp
+++ b/soak/guarantees.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <algorithm>
+#include <array>
 #include <cstdint>
 #include <map>
 #include <set>
@@ -8,11 +10,18 @@
 
 namespace acaciaslip::soak {
 
+/// Whether a caller may take the status for the promise that no server has executed its request or will.
+constexpr bool promisesNotRun(int status) noexcept
+{
+    constexpr std::array<int, 4> promises { 408, 421, 429, 503 };
+    return std::find(promises.begin(), promises.end(), status) != promises.end();
+}
+
 /// The observed history of one request.
 struct request_record {
     bool idempotent = false;
     std::uint32_t runs = 0; ///< number of times that servers executed it
-    bool refusedAsNotRun = false; ///< the caller received 503, which guarantees that no server executed it
+    bool refusedAsNotRun = false; ///< the caller received a status that guarantees that no server executed it
     std::string service; ///< the service of its route
 };
 
@@ -48,7 +57,6 @@
     {
         ++m_checked;
         constexpr int ok = 200;
-        constexpr int unavailable = 503;
         ++m_statuses[status];
         auto& request = m_requests[id];
         if (status == ok && (!isComplete || body != "ran " + id))
@@ -56,7 +64,7 @@
                 "a caller received an answer that does not match its request: " + id + " received '" + body + "'");
         if (status == ok && request.runs == 0)
             recordViolation("a request succeeded without being executed: " + id);
-        if (status != unavailable)
+        if (!promisesNotRun(status))
             return;
         request.refusedAsNotRun = true;
         if (request.runs > 0 && !request.idempotent)
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -256,7 +256,7 @@
         constexpr std::array<proxy_fault, 5> kinds { proxy_fault::none, proxy_fault::delay, proxy_fault::reset,
             proxy_fault::blackhole, proxy_fault::drop_responses };
         constexpr std::array<server_fault, 8> serverFaults { server_fault::repeats_refusal, server_fault::none,
-            server_fault::none, server_fault::sheds, server_fault::malformed, server_fault::unfinished,
+            server_fault::fails_after_run, server_fault::sheds, server_fault::malformed, server_fault::unfinished,
             server_fault::duplicate, server_fault::late };
         switch (m_random() % 14) {
         case 0:
--- a/soak/platform_standin.cpp
+++ b/soak/platform_standin.cpp
@@ -1,5 +1,7 @@
 #include "soak/platform_standin.hpp"
 
+#include <array>
+
 #include <absl/strings/escaping.h>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -194,6 +196,7 @@
 std::string server_standin::writeAnswer(const std::string& id) const
 {
     constexpr std::size_t unfinishedBytes = 65536;
+    constexpr std::array<int, 3> failures { 408, 429, 503 };
     const auto body = "ran " + id;
     auto answer = head(200, id, body.size()) + "\r\n" + body;
     switch (m_fault) {
@@ -205,6 +208,8 @@
         return answer + answer;
     case server_fault::repeats_refusal: // of an earlier request, before the answer
         return head(503, {}, 0) + "X-Acaciaslip-Not-Executed: 1\r\n\r\n" + answer;
+    case server_fault::fails_after_run:
+        return head(failures[m_runs % failures.size()], id, body.size()) + "\r\n" + body;
     default:
         return answer;
     }
--- a/tests/soak/guarantees_test.cpp
+++ b/tests/soak/guarantees_test.cpp
@@ -9,6 +9,7 @@
 using testing::ElementsAre;
 using testing::HasSubstr;
 using testing::IsEmpty;
+using testing::SizeIs;
 
 constexpr int statusOk = 200;
 constexpr int statusUnavailable = 503;
@@ -54,6 +55,15 @@
     EXPECT_THAT(m_checker.violations(), ElementsAre(HasSubstr("after it had been executed")));
 }
 
+/// Guards against a soak that overlooks promises other than 503.
+TEST_F(guarantee_checker_test, NonIdempotentRequest_AnyPromiseAfterRun_ReportsViolation)
+{
+    m_checker.recordRun("booking", "bookings");
+    for (const int status : { 408, 421, 429 })
+        m_checker.recordAnswer("booking", status, "", true);
+    EXPECT_THAT(m_checker.violations(), SizeIs(3));
+}
+
 TEST_F(guarantee_checker_test, NonIdempotentRequest_RunAfterRefusal_ReportsViolation)
 {
     m_checker.recordAnswer("booking", statusUnavailable, "", true);
