Learn the service time for each latency objective

Callers saw: a route was added to a service whose requests take 1.1 s on another route.

Cause: a service whose routes have one priority had a single service time, learned from the responses to all its requests. By it, each short request appeared to take longer than its deadline and was refused at once.

Change: the service time is learned for each objective of the service's routes. A route that is added no longer inherits the service time of others; one that changes its objective in a service with one objective keeps what is known.

--- a/src/coordination/gateway/node.hpp
+++ b/src/coordination/gateway/node.hpp
@@ -16,6 +16,7 @@
 #include "state/gateway/published_fleet.hpp"
 #include "state/gateway/request_class.hpp"
 #include "state/gateway/server_state.hpp"
+#include "state/gateway/service_time.hpp"
 
 #include <cstdint>
 #include <deque>
@@ -51,8 +52,11 @@
 /// State of one service beyond its configuration.
 struct service_activity {
     std::vector<state::host_id> members; ///< every registered server
-    /// Typical service time on a server without interference, learned from responses.
+    /// Typical service time on a server without interference, learned from all responses.
     std::optional<state::duration> typicalServiceTime;
+    bool hasObjectives = false; ///< more than one latency objective occurs among its routes
+    /// Likewise, for the requests with one objective, from those that have no class.
+    std::map<state::duration, state::gateway::service_time> serviceTimes;
     retry_budget retryBudget;
     bool hasPriorities = false; ///< more than one priority occurs among its routes and teams
     /// Only if it has priorities; see `request_classes.hpp`.
--- a/src/coordination/gateway/request_classes.cpp
+++ b/src/coordination/gateway/request_classes.cpp
@@ -15,6 +15,7 @@
 /// Service time as a share of the objective before any response was seen. Operators set objectives to two to three
 /// times the service time.
 constexpr double assumedServiceTimeShare = 0.4;
+constexpr double serviceTimeWeight = 0.1; ///< weight of one response, for requests without a class
 constexpr std::uint32_t maxResponses = 10; ///< the weight of a response does not fall below the inverse
 /// A longer service time counts as this multiple of the typical one. Work of seven times the mean occurs in 3 % of the
 /// requests; unbounded, each of them would make the next requests of the class appear to be late.
@@ -66,6 +67,32 @@
     return hasRoute && priorities.size() > 1;
 }
 
+/// Latency objectives of the routes to each service.
+std::map<std::string, std::set<state::duration>> findObjectives(const state::gateway::configuration& config)
+{
+    std::map<std::string, std::set<state::duration>> objectives;
+    for (const auto& route : config.routes) {
+        for (const auto& part : route.split)
+            objectives[part.service].insert(route.objective);
+    }
+    return objectives;
+}
+
+/// Forgets the service times of objectives that no route has any more.
+void updateObjectives(service_activity& activity, const std::set<state::duration>& objectives)
+{
+    activity.hasObjectives = objectives.size() > 1;
+    std::erase_if(activity.serviceTimes, [&](const auto& known) { return !objectives.contains(known.first); });
+}
+
+/// Moves a learned service time towards that of a response.
+/// \param assumed what it is if nothing was learned yet
+void learn(std::optional<state::duration>& known, state::duration assumed, state::duration serviceTime)
+{
+    const auto before = known.value_or(assumed);
+    known = before + std::chrono::duration_cast<state::duration>((serviceTime - before) * serviceTimeWeight);
+}
+
 /// \param classes those of the request's service, constant or not
 template <typename Classes> auto findIn(Classes& classes, const pending_request& request) noexcept
 {
@@ -98,9 +125,15 @@
         if (hasSeveralPriorities(*self.config, service.name, teamPriorities))
             self.services[service.name].hasPriorities = true;
     }
+    auto objectives = findObjectives(*self.config);
+    for (const auto& [service, known] : objectives) {
+        if (known.size() > 1)
+            self.services.try_emplace(service);
+    }
     for (auto& [name, activity] : self.services) {
         if (!activity.hasPriorities)
             activity.classes.clear();
+        updateObjectives(activity, objectives[name]);
     }
 }
 
@@ -134,6 +167,15 @@
         / std::chrono::duration<double>(classCountDecayTime).count();
 }
 
+void recordServiceTime(gateway_node& self, const pending_request& request, state::duration serviceTime)
+{
+    const auto typical = typicalServiceTime(self, request);
+    auto& activity = self.services[request.service];
+    learn(activity.typicalServiceTime, typical, serviceTime);
+    if (findIn(activity.classes, request) == nullptr)
+        learn(activity.serviceTimes[request.matched->objective].typical, typical, serviceTime);
+}
+
 void recordClassResponse(
     gateway_node& self, const pending_request& request, state::duration took, state::duration serviceTime)
 {
@@ -173,7 +215,14 @@
     if (const auto* known = findClass(self, request))
         return known->typicalServiceTime;
     const auto service = self.services.find(request.service);
-    return service == self.services.end() ? std::nullopt : service->second.typicalServiceTime;
+    if (service == self.services.end())
+        return std::nullopt;
+    const auto& activity = service->second;
+    const auto known = activity.serviceTimes.find(request.matched->objective);
+    if (known != activity.serviceTimes.end() && known->second.typical)
+        return known->second.typical;
+    // With several objectives, the service's time would be that of other requests.
+    return activity.hasObjectives ? std::nullopt : activity.typicalServiceTime;
 }
 
 } // namespace acaciaslip::coordination::gateway
--- a/src/coordination/gateway/request_flow.cpp
+++ b/src/coordination/gateway/request_flow.cpp
@@ -33,7 +33,6 @@
 constexpr int firstServerError = 500;
 /// Most requests take less than this multiple of their service's typical time.
 constexpr int likelyServiceTimes = 2;
-constexpr double serviceTimeWeight = 0.1; ///< weight of one response in a service's typical service time
 
 pending_request makeRequest(gateway_node& self, const request_arrived& arrived, const state::gateway::route& route,
     const state::gateway::team* team, state::time_point now)
@@ -69,10 +68,8 @@
     const double serviceTimes = static_cast<double>(attempt.expected.count())
         / static_cast<double>(std::max<std::int64_t>(typical.count(), 1));
     const auto serviceTime = std::chrono::duration_cast<state::duration>(took / std::max(serviceTimes, 1.0));
+    recordServiceTime(self, request, serviceTime);
     recordClassResponse(self, request, took, serviceTime);
-    auto& known = self.services[request.service].typicalServiceTime;
-    const auto before = known.value_or(typical);
-    known = before + std::chrono::duration_cast<state::duration>((serviceTime - before) * serviceTimeWeight);
 }
 
 void recordServerBehaviour(gateway_node& self, const pending_request& request, const in_flight_attempt& attempt,
