Let a few requests test a service time that refuses them

Callers saw: after 24 requests of 3 s with a deadline of 12 s, servers answered in 5 ms, and 0 of 160 requests with a deadline of 0.9 s were served in 16 s.

Cause: a request is refused if its service time, as learned from responses, exceeds its objective and its deadline. A refused request has no response, so that a service time above all deadlines was never corrected. A server's observed slowdown and failures had the same effect for some seconds.

Change: of the requests that are refused only because of what the host has learned, a few are sent as trials: one at a time at first, twice as many after each success, half as many after each failure, with pauses of up to 3 s. Servers that are full or report that they are slow receive none. All other requests are refused at once, as before. Events, a metric and the dump show the trials.

--- a/src/coordination/gateway/completion_estimate.cpp
+++ b/src/coordination/gateway/completion_estimate.cpp
@@ -27,7 +27,7 @@
     const state::gateway::server_state& server, state::duration typicalServiceTime, state::time_point now) noexcept
 {
     const auto [slots, inFlight, queued] = countSlotUse(server);
-    double slowdown = (server.report ? server.report->slowdown : 1) * currentSlowdown(server, now);
+    double slowdown = server.report ? server.report->slowdown : 1;
     if (inFlight + 1 > highUtilization * slots)
         slowdown *= highUtilizationSlowdown;
     if (now < server.coldUntil)
@@ -37,8 +37,9 @@
     const double serviceTimes = slowdown * (1 + queueAhead / slots);
     // A server that fails some of its requests also costs the time of retrying them.
     const double expectedAttempts = 1 / (1 - std::min(0.9, currentFailureRate(server, now)));
-    return { std::chrono::duration_cast<state::duration>(typicalServiceTime * (serviceTimes * expectedAttempts)),
-        startsImmediately };
+    const double observed = currentSlowdown(server, now) * expectedAttempts;
+    return { std::chrono::duration_cast<state::duration>(typicalServiceTime * (serviceTimes * observed)),
+        startsImmediately, std::chrono::duration_cast<state::duration>(typicalServiceTime * serviceTimes) };
 }
 
 } // namespace acaciaslip::coordination::gateway
--- a/src/coordination/gateway/node.hpp
+++ b/src/coordination/gateway/node.hpp
@@ -65,6 +65,19 @@
     std::set<state::gateway::waiting_position> waiting;
 };
 
+/// How a request ended that was sent although it appeared to be late; see `service_time_trials.hpp`.
+enum class trial_outcome {
+    served, ///< answered in time
+    failed, ///< not answered in time; it may have run
+    not_run,
+};
+
+inline constexpr std::array<state::enum_name<trial_outcome>, 3> trialOutcomeNames { {
+    { trial_outcome::served, "served" },
+    { trial_outcome::failed, "failed" },
+    { trial_outcome::not_run, "not_run" },
+} };
+
 /// Counters since the node started. Exported by the metrics and the dump.
 struct node_counters {
     std::map<state::verdict, std::uint64_t> requestsByVerdict;
@@ -75,6 +88,7 @@
     std::uint64_t retries = 0;
     std::uint64_t hedges = 0;
     std::uint64_t retriesDenied = 0; ///< retries and hedges denied by the retry budget
+    std::map<trial_outcome, std::uint64_t> serviceTimeTrials;
     std::uint64_t callersDisconnected = 0;
     std::uint64_t serverCrashes = 0; ///< servers that ended while they ran requests of this host
     std::uint64_t backOffsNamed = 0; ///< times a server asked this host to send it nothing for a while
--- a/src/coordination/gateway/request_classes.cpp
+++ b/src/coordination/gateway/request_classes.cpp
@@ -197,6 +197,13 @@
     return service == self.services.end() ? nullptr : findIn(service->second.classes, request);
 }
 
+state::gateway::service_time_trials& findTrials(gateway_node& self, const pending_request& request)
+{
+    auto& activity = self.services[request.service];
+    auto* const known = findIn(activity.classes, request);
+    return known != nullptr ? known->trials : activity.serviceTimes[request.matched->objective].trials;
+}
+
 state::duration typicalServiceTime(const gateway_node& self, const pending_request& request) noexcept
 {
     if (const auto learned = learnedServiceTime(self, request))
--- a/src/coordination/gateway/request_classes.hpp
+++ b/src/coordination/gateway/request_classes.hpp
@@ -48,6 +48,10 @@
 [[nodiscard]] const state::gateway::request_class* findClass(
     const gateway_node& self, const state::gateway::pending_request& request) noexcept;
 
+/// Trials of requests like this one: those of its class if it has one, otherwise those of its objective.
+[[nodiscard]] state::gateway::service_time_trials& findTrials(
+    gateway_node& self, const state::gateway::pending_request& request);
+
 /// Typical service time of requests like this one on a server without interference: that of its class if it has one,
 /// otherwise that of the service's requests with its objective.
 [[nodiscard]] state::duration typicalServiceTime(
--- a/src/coordination/gateway/request_end.cpp
+++ b/src/coordination/gateway/request_end.cpp
@@ -6,6 +6,7 @@
 #include "coordination/gateway/request_log.hpp"
 #include "coordination/gateway/retry_after.hpp"
 #include "coordination/gateway/server_load.hpp"
+#include "coordination/gateway/service_time_trials.hpp"
 #include "coordination/gateway/waiting_order.hpp"
 
 #include <algorithm>
@@ -60,6 +61,7 @@
 {
     countOutcome(self, request, state::verdict::ran, now);
     recordClassEnd(self, request, true, now);
+    endServiceTimeTrial(self, request, trial_outcome::served, now);
     auto line = describeEnd(request, "answered", now);
     line.fields.back().second = state::findName(state::verdictNames, state::verdict::ran);
     line.fields.emplace_back("server", answer.server);
@@ -80,6 +82,8 @@
     const auto outcome = verdictWithoutAnswer(request);
     countOutcome(self, request, outcome, now);
     recordClassEnd(self, request, false, now);
+    const bool hasRun = outcome != state::verdict::not_run;
+    endServiceTimeTrial(self, request, hasRun ? trial_outcome::failed : trial_outcome::not_run, now);
     ++self.counters.refusals[reason];
     const auto retryAfter = estimateRetryAfter(self, &request, reason, now, random);
     auto line = describeEnd(request, state::findName(state::refusalReasonNames, reason), now);
@@ -99,6 +103,7 @@
 void endAbandonedRequest(gateway_node& self, pending_request& request, state::time_point now, effect_list& effects)
 {
     ++self.counters.callersDisconnected;
+    endServiceTimeTrial(self, request, trial_outcome::failed, now);
     effects.emplace_back(describeEnd(request, "caller_gone", now));
     if (request.fallback)
         effects.emplace_back(discard_answer { request.fallback->attempt });
--- a/src/coordination/gateway/request_log.cpp
+++ b/src/coordination/gateway/request_log.cpp
@@ -68,6 +68,16 @@
             { "ms", milliseconds(now - request.arrivedAt) } } };
 }
 
+log_event describeServiceTimeTrial(const gateway_node& self, const pending_request& request,
+    const state::gateway::service_time_trials& trials, state::time_point now)
+{
+    return { log_level::info, "service_time_trial",
+        { { "id", request.callerRequestId }, { "service", request.service },
+            { "service_time_ms", milliseconds(typicalServiceTime(self, request)) },
+            { "ms_left", milliseconds(request.deadline - now) },
+            { "in_flight", std::to_string(trials.inFlight.size()) }, { "limit", std::to_string(trials.limit) } } };
+}
+
 log_event describeRetryDenied(const gateway_node& self, const pending_request& request)
 {
     return { log_level::info, "repeat_denied",
--- a/src/coordination/gateway/request_log.hpp
+++ b/src/coordination/gateway/request_log.hpp
@@ -29,6 +29,11 @@
 /// The retry budget denies a retry or hedge.
 [[nodiscard]] log_event describeRetryDenied(const gateway_node& self, const state::gateway::pending_request& request);
 
+/// Describes a request that is sent although it appears to be late.
+[[nodiscard]] log_event describeServiceTimeTrial(const gateway_node& self,
+    const state::gateway::pending_request& request, const state::gateway::service_time_trials& trials,
+    state::time_point now);
+
 /// Appends the request's class, its priority and the slots per server that were kept for more urgent classes in its
 /// latest round. Appends nothing if its service has no priorities.
 void appendClass(const gateway_node& self, const state::gateway::pending_request& request, log_event& line);
--- a/src/coordination/gateway/round_resolution.cpp
+++ b/src/coordination/gateway/round_resolution.cpp
@@ -11,6 +11,7 @@
 #include "coordination/gateway/server_limit.hpp"
 #include "coordination/gateway/server_load.hpp"
 #include "coordination/gateway/service_outage.hpp"
+#include "coordination/gateway/service_time_trials.hpp"
 #include "coordination/gateway/slot_reservation.hpp"
 #include "coordination/gateway/waiting_order.hpp"
 
@@ -112,7 +113,8 @@
         request.probeAgainAt = now + pause;
         return schedule(self, request);
     }
-    if (now + best.estimate.time <= request.deadline)
+    const bool inTime = now + best.estimate.time <= request.deadline;
+    if (inTime || startServiceTimeTrial(self, request, best.estimate, now, effects))
         return sendRequest(self, request, *best.server, best.estimate, reason, now, random, effects);
     request.round.reset();
     endWithRefusal(self, request, state::refusal_reason::overloaded, now, random, effects);
--- a/src/protocol/gateway_dump.cpp
+++ b/src/protocol/gateway_dump.cpp
@@ -53,11 +53,29 @@
         { "refused", suspect.refusedFrom.has_value() } };
 }
 
+json describeTrials(const state::gateway::service_time_trials& trials, state::time_point now)
+{
+    json described { { "in_flight", trials.inFlight.size() }, { "limit", trials.limit } };
+    if (trials.pausedUntil && now < *trials.pausedUntil)
+        described["paused_for_ms"] = milliseconds(*trials.pausedUntil - now);
+    return described;
+}
+
+json describeServiceTime(const std::string& service, state::duration objective,
+    const state::gateway::service_time& known, state::time_point now)
+{
+    json described { { "service", service }, { "objective_ms", milliseconds(objective) },
+        { "trials", describeTrials(known.trials, now) } };
+    if (known.typical)
+        described["service_time_ms"] = milliseconds(*known.typical);
+    return described;
+}
+
 json describeClass(const std::string& service, const state::gateway::request_class& known, state::time_point now)
 {
     return { { "service", service }, { "priority", known.priority }, { "objective_ms", milliseconds(known.objective) },
         { "service_time_ms", milliseconds(coordination::gateway::typicalServiceTime(known)) },
-        { "responses", known.responses },
+        { "trials", describeTrials(known.trials, now) }, { "responses", known.responses },
         { "arrivals_per_second", coordination::gateway::arrivalsPerSecond(known, now) },
         { "recent_served", known.recentServed }, { "recent_refused", known.recentRefused },
         { "fleet_demand_slots", known.fleetDemand } };
@@ -134,6 +152,8 @@
     for (const auto& [name, activity] : node.services) {
         for (const auto& known : activity.classes)
             described["classes"].push_back(describeClass(name, known, now));
+        for (const auto& [objective, known] : activity.serviceTimes)
+            described["service_times"].push_back(describeServiceTime(name, objective, known, now));
     }
     for (const auto& [request, suspect] : node.suspects)
         described["crash_suspects"].push_back(describeSuspect(suspect));
--- a/src/state/gateway/request_class.hpp
+++ b/src/state/gateway/request_class.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "state/gateway/service_time.hpp"
 #include "state/identifiers.hpp"
 #include "state/service_activity.hpp"
 #include "state/time.hpp"
@@ -29,6 +30,7 @@
     time_point lastArrivalAt;
     /// Typical service time on a server without interference, learned from responses.
     std::optional<duration> typicalServiceTime;
+    service_time_trials trials;
     std::uint32_t responses = 0; ///< from which the service time was learned; counts up to a bound
     latency_histogram durations; ///< of attempts that were answered, from the send to the response
 
--- a/src/transport/loop/gateway_metrics.cpp
+++ b/src/transport/loop/gateway_metrics.cpp
@@ -31,6 +31,9 @@
     families.push_back(makeCounter("acaciaslip_hedges_total", "Sends beside a slow first one", counters.hedges));
     families.push_back(
         makeCounter("acaciaslip_repeats_denied_total", "Repeats that the budget denied", counters.retriesDenied));
+    families.push_back(makeCounters("acaciaslip_service_time_trials_total",
+        "Requests sent although they appeared to be late, by outcome", "outcome", counters.serviceTimeTrials,
+        coordination::gateway::trialOutcomeNames));
     families.push_back(
         makeCounter("acaciaslip_callers_gone_total", "Callers that left early", counters.callersDisconnected));
 }
