Learn nothing from an answer that is handled after its deadline

One host refused a whole service.

Cause: the host's process was stopped while a server ran a request. The answer was handled 13.3 s after the send, and all of this time counted as time of the server: the learned service time rose above the route's timeout.

Change: an attempt ends with its request's deadline, so that an answer that is handled later can only have waited in this process. It teaches neither a service time nor a slowdown of the server.

Measured: without the check 3 of the 4 cases of paused_host_test failed; all pass now.

--- a/src/coordination/gateway/request_flow.cpp
+++ b/src/coordination/gateway/request_flow.cpp
@@ -61,6 +61,9 @@
     auto* const server = findServer(self, attempt.server);
     if (server == nullptr)
         return;
+    // Attempts end with the deadline. An answer that is handled later arrived in time, while this host was paused.
+    if (now > request.deadline)
+        return;
     const auto took = now - attempt.startedAt;
     recordDuration(*server, took, attempt.expected, now);
     const auto typical = typicalServiceTime(self, request);
