Let a request every 4 s end a server's limit of zero

Callers saw, in a simulation of 3, 15 and 99 hosts: servers that had named a limit of 0 and no longer did so were not used, and callers were refused.

Cause: a limit ends with an answer to a request.

Change: all hosts together send a limited server at least one request in 4 s.

Measured: before the change the 3 cases of zero_limit_test failed; all pass now, with the 25 other tests of limits.

--- a/src/coordination/gateway/server_limit.cpp
+++ b/src/coordination/gateway/server_limit.cpp
@@ -23,6 +23,9 @@
 constexpr double goldenRatio = 0.618;
 constexpr state::duration confirmationTime = std::chrono::seconds { 3 }; ///< after which a limit counts as unconfirmed
 constexpr state::duration endNoticeTime = std::chrono::seconds { 30 }; ///< in which gossip reaches every host
+/// Requests per second that all hosts together send to a server at least, however low its limit. Only an answer to a
+/// request says that a limit has ended.
+constexpr double confirmationRate = 0.25;
 constexpr std::size_t limitsPerHeartbeat = 8; ///< keeps it within one datagram
 
 using state::gateway::header_statement;
@@ -163,8 +166,9 @@
     // The slots of one host at different servers start at different times.
     const auto& id = server.entry.id;
     const state::duration anchor { static_cast<std::int64_t>(XXH3_64bits(id.data(), id.size()) >> 32U) };
+    const double perSecond = std::max(*server.limitPerSecond, confirmationRate);
     return timeUntilSlot(
-        anchor - time->time_since_epoch(), *server.limitPerSecond, shareOfLimits(self, now), server.lastSendAt, now);
+        anchor - time->time_since_epoch(), perSecond, shareOfLimits(self, now), server.lastSendAt, now);
 }
 
 } // namespace acaciaslip::coordination::gateway
--- a/tests/coordination/gateway/server_limit_test.cpp
+++ b/tests/coordination/gateway/server_limit_test.cpp
@@ -272,5 +272,24 @@
     }
 }
 
+class zero_limit_test : public testing::TestWithParam<std::size_t> { };
+
+/// Guards against a limit that never ends because it leaves no request whose answer could end it.
+TEST_P(zero_limit_test, LimitOfZero_NoLongerNamed_HostsReturnToServers)
+{
+    limited_fleet fleet { GetParam(), 9, 60 };
+    fleet.run(20s);
+    fleet.limit(9, 0);
+    fleet.run(20s);
+    EXPECT_LE(static_cast<double>(fleet.mostReceived), mostAllowed(0));
+    fleet.endLimit();
+    fleet.run(30s);
+    fleet.outcomes.clear();
+    fleet.run(10s);
+    EXPECT_EQ(fleet.refused(), 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Hosts, zero_limit_test, testing::Values(3, 15, 99));
+
 } // namespace
 } // namespace acaciaslip::coordination::gateway
