Forget trials that ended under another configuration

A service that gained priorities while a trial ran, and lost them later, counted the trial as in flight for ever, so that no other one followed: a refusal that lives on itself again. Ended requests are now removed before a trial starts.

--- a/soak/guarantees.hpp
+++ b/soak/guarantees.hpp
@@ -10,7 +10,8 @@
 
 namespace acaciaslip::soak {
 
-/// Whether a caller may take the status for the promise that no server has executed its request or will.
+/// Whether a caller may take the status for the promise that no server has executed its request or will. Independent of
+/// the load balancer's own list, which is checked here.
 constexpr bool promisesNotRun(int status) noexcept
 {
     constexpr std::array<int, 4> promises { 408, 421, 429, 503 };
--- a/src/coordination/gateway/request_classes.cpp
+++ b/src/coordination/gateway/request_classes.cpp
@@ -87,7 +87,7 @@
 
 /// Moves a learned service time towards that of a response.
 /// \param assumed what it is if nothing was learned yet
-void learn(std::optional<state::duration>& known, state::duration assumed, state::duration serviceTime)
+void moveTowards(std::optional<state::duration>& known, state::duration assumed, state::duration serviceTime)
 {
     const auto before = known.value_or(assumed);
     known = before + std::chrono::duration_cast<state::duration>((serviceTime - before) * serviceTimeWeight);
@@ -171,9 +171,9 @@
 {
     const auto typical = typicalServiceTime(self, request);
     auto& activity = self.services[request.service];
-    learn(activity.typicalServiceTime, typical, serviceTime);
+    moveTowards(activity.typicalServiceTime, typical, serviceTime);
     if (findIn(activity.classes, request) == nullptr)
-        learn(activity.serviceTimes[request.matched->objective].typical, typical, serviceTime);
+        moveTowards(activity.serviceTimes[request.matched->objective].typical, typical, serviceTime);
 }
 
 void recordClassResponse(
--- a/src/coordination/gateway/service_time_trials.cpp
+++ b/src/coordination/gateway/service_time_trials.cpp
@@ -56,6 +56,9 @@
     if (request.isServiceTimeTrial) // a retry
         return true;
     auto& trials = findTrials(self, request);
+    // After a change of the configuration, a trial may have ended as a request of another class.
+    std::erase_if(
+        trials.inFlight, [&](state::request_id id) { return !self.requests.contains(static_cast<std::uint64_t>(id)); });
     if (trials.inFlight.empty() && now - trials.endedAt > trialMemory)
         trials = {};
     if ((trials.pausedUntil && now < *trials.pausedUntil) || trials.inFlight.size() >= trials.limit)
@@ -73,7 +76,7 @@
         return;
     ++self.counters.serviceTimeTrials[outcome];
     auto& trials = findTrials(self, request);
-    if (std::erase(trials.inFlight, request.id) == 0) // a change of the configuration has reset the trials
+    if (std::erase(trials.inFlight, request.id) == 0) // it started before a change of the configuration
         return;
     trials.endedAt = now;
     switch (outcome) {
--- a/tests/coordination/gateway/service_time_trial_test.cpp
+++ b/tests/coordination/gateway/service_time_trial_test.cpp
@@ -141,6 +141,30 @@
     EXPECT_EQ(serve({ 20, 100ms, shortDeadline, shortWork }).refused, 0U);
 }
 
+/// Guards against a trial that is looked for in another class when it ends, and so counts as in flight for ever.
+TEST_F(service_time_trial_test, Service_GainsAndLosesPrioritiesDuringTrial_NextTrialFollows)
+{
+    learnLongServiceTime();
+    startRequest("/a/x", shortDeadline);
+    answerProbes();
+    const auto trial = takeEffect<send_request>();
+    auto urgent = m_route;
+    urgent.name = "urgent";
+    urgent.pathPrefix = "/b/";
+    urgent.priority = 1;
+    m_furtherRoutes = { urgent };
+    publishConfiguration();
+    publish();
+    const auto next = startRequest("/a/x", longDeadline); // adds the class
+    finishAttempt(trial.id, state::attempt_outcome::answered, 200);
+    handleEvent(caller_disconnected { next });
+    m_furtherRoutes.clear();
+    publishConfiguration();
+    publish();
+    m_effects.clear();
+    EXPECT_GE(serveShort().served, 152U);
+}
+
 TEST_F(service_time_trial_test, Trial_Served_IsCountedAndLogged)
 {
     learnLongServiceTime();
