Reword comments and rename for readers new to the project

Comments that relied on the wording of others ("Likewise"), on terms used here only, or on a second reading now say what they mean; names follow (guaranteesNotRun, hasSeveralObjectives, timeWithoutHistory, isLateOnlyByHistory, updateAverage, and some of tests). No behaviour changes.

--- a/soak/guarantees.hpp
+++ b/soak/guarantees.hpp
@@ -10,12 +10,12 @@
 
 namespace acaciaslip::soak {
 
-/// Whether a caller may take the status for the promise that no server has executed its request or will. Independent of
-/// the load balancer's own list, which is checked here.
-constexpr bool promisesNotRun(int status) noexcept
+/// Whether a response of this status guarantees that no server has executed the request or will execute it.
+/// Deliberately not shared with the load balancer, which this program checks.
+constexpr bool guaranteesNotRun(int status) noexcept
 {
-    constexpr std::array<int, 4> promises { 408, 421, 429, 503 };
-    return std::find(promises.begin(), promises.end(), status) != promises.end();
+    constexpr std::array<int, 4> statuses { 408, 421, 429, 503 };
+    return std::find(statuses.begin(), statuses.end(), status) != statuses.end();
 }
 
 /// The observed history of one request.
@@ -65,7 +65,7 @@
                 "a caller received an answer that does not match its request: " + id + " received '" + body + "'");
         if (status == ok && request.runs == 0)
             recordViolation("a request succeeded without being executed: " + id);
-        if (!promisesNotRun(status))
+        if (!guaranteesNotRun(status))
             return;
         request.refusedAsNotRun = true;
         if (request.runs > 0 && !request.idempotent)
--- a/soak/platform_standin.hpp
+++ b/soak/platform_standin.hpp
@@ -94,7 +94,7 @@
     duplicate, ///< it answers twice
     repeats_refusal, ///< it refuses each one that it has no slot for twice, the second time without the request's id
     late, ///< it answers after the callers' timeout
-    fails_after_run, ///< it executes them and answers 408, 429 or 503, without saying that it has not
+    fails_after_run, ///< it executes them, then answers 408, 429 or 503
 };
 
 /// A backend server that implements the platform's request headers, load reports and health check.
--- a/src/coordination/gateway/completion_estimate.hpp
+++ b/src/coordination/gateway/completion_estimate.hpp
@@ -21,7 +21,7 @@
 struct completion_estimate {
     state::duration time {}; ///< from now to the response
     bool startsImmediately = false; ///< a slot is free
-    state::duration reportedTime {}; ///< likewise to `time`, without the slowdown and failures that this node observed
+    state::duration timeWithoutHistory {}; ///< like `time`, without slowdown and failures observed by this node
 };
 
 /// Estimates the completion time from a server's latest load report, the requests that this node has sent since, and
--- a/src/coordination/gateway/node.hpp
+++ b/src/coordination/gateway/node.hpp
@@ -52,10 +52,10 @@
 /// State of one service beyond its configuration.
 struct service_activity {
     std::vector<state::host_id> members; ///< every registered server
-    /// Typical service time on a server without interference, learned from all responses.
+    /// Typical service time on an otherwise idle machine, as a moving average over the responses to all requests.
     std::optional<state::duration> typicalServiceTime;
-    bool hasObjectives = false; ///< more than one latency objective occurs among its routes
-    /// Likewise, for the requests with one objective, from those that have no class.
+    bool hasSeveralObjectives = false; ///< its routes have different latency objectives
+    /// Service times by latency objective, learned from the responses to requests that belong to no class.
     std::map<state::duration, state::gateway::service_time> serviceTimes;
     retry_budget retryBudget;
     bool hasPriorities = false; ///< more than one priority occurs among its routes and teams
@@ -65,11 +65,11 @@
     std::set<state::gateway::waiting_position> waiting;
 };
 
-/// How a request ended that was sent although it appeared to be late; see `service_time_trials.hpp`.
+/// How a trial ended; see `service_time_trials.hpp`.
 enum class trial_outcome {
-    served, ///< answered in time
-    failed, ///< not answered in time; it may have run
-    not_run,
+    served, ///< a server answered before the deadline
+    failed, ///< no answer before the deadline; a server may have executed the request
+    not_run, ///< no server executed the request, so the trial shows nothing
 };
 
 inline constexpr std::array<state::enum_name<trial_outcome>, 3> trialOutcomeNames { {
--- a/src/coordination/gateway/request_classes.cpp
+++ b/src/coordination/gateway/request_classes.cpp
@@ -15,7 +15,8 @@
 /// Service time as a share of the objective before any response was seen. Operators set objectives to two to three
 /// times the service time.
 constexpr double assumedServiceTimeShare = 0.4;
-constexpr double serviceTimeWeight = 0.1; ///< weight of one response, for requests without a class
+constexpr double serviceTimeWeight
+    = 0.1; ///< weight of one response in the moving average, for requests without a class
 constexpr std::uint32_t maxResponses = 10; ///< the weight of a response does not fall below the inverse
 /// A longer service time counts as this multiple of the typical one. Work of seven times the mean occurs in 3 % of the
 /// requests; unbounded, each of them would make the next requests of the class appear to be late.
@@ -78,16 +79,16 @@
     return objectives;
 }
 
-/// Forgets the service times of objectives that no route has any more.
+/// Removes the service times of objectives that no route uses any longer.
 void updateObjectives(service_activity& activity, const std::set<state::duration>& objectives)
 {
-    activity.hasObjectives = objectives.size() > 1;
+    activity.hasSeveralObjectives = objectives.size() > 1;
     std::erase_if(activity.serviceTimes, [&](const auto& known) { return !objectives.contains(known.first); });
 }
 
-/// Moves a learned service time towards that of a response.
-/// \param assumed what it is if nothing was learned yet
-void moveTowards(std::optional<state::duration>& known, state::duration assumed, state::duration serviceTime)
+/// Adds the service time of one response to a moving average.
+/// \param assumed starting value of an empty average
+void updateAverage(std::optional<state::duration>& known, state::duration assumed, state::duration serviceTime)
 {
     const auto before = known.value_or(assumed);
     known = before + std::chrono::duration_cast<state::duration>((serviceTime - before) * serviceTimeWeight);
@@ -171,9 +172,9 @@
 {
     const auto typical = typicalServiceTime(self, request);
     auto& activity = self.services[request.service];
-    moveTowards(activity.typicalServiceTime, typical, serviceTime);
+    updateAverage(activity.typicalServiceTime, typical, serviceTime);
     if (findIn(activity.classes, request) == nullptr)
-        moveTowards(activity.serviceTimes[request.matched->objective].typical, typical, serviceTime);
+        updateAverage(activity.serviceTimes[request.matched->objective].typical, typical, serviceTime);
 }
 
 void recordClassResponse(
@@ -228,8 +229,8 @@
     const auto known = activity.serviceTimes.find(request.matched->objective);
     if (known != activity.serviceTimes.end() && known->second.typical)
         return known->second.typical;
-    // With several objectives, the service's time would be that of other requests.
-    return activity.hasObjectives ? std::nullopt : activity.typicalServiceTime;
+    // If objectives differ, the average over the service describes mostly requests of other routes.
+    return activity.hasSeveralObjectives ? std::nullopt : activity.typicalServiceTime;
 }
 
 } // namespace acaciaslip::coordination::gateway
--- a/src/coordination/gateway/request_classes.hpp
+++ b/src/coordination/gateway/request_classes.hpp
@@ -9,7 +9,7 @@
 ///
 /// With one service time for the whole service, the short requests always appear to be too late and the long ones
 /// always in time. In a service with more than one priority, the service time is therefore learned for each class.
-/// Services with one priority have no classes. Their service time is learned for each objective.
+/// Services with one priority have no classes; for them, it is learned for each latency objective.
 
 /// Upper bound of the classes of one service. Requests of further classes use the service time of their objective.
 inline constexpr std::size_t maxRequestClasses = 16;
@@ -25,8 +25,8 @@
 /// Records the arrival of a request, and adds its class if it is new.
 void recordClassArrival(gateway_node& self, const state::gateway::pending_request& request, state::time_point now);
 
-/// Learns the service time of requests like this one from a response.
-/// \param serviceTime the part of the response's duration that is not due to the server's slowdown and queue
+/// Updates the typical service time of requests like this one with one response.
+/// \param serviceTime duration of the response without the share caused by the server's slowdown and queue
 void recordServiceTime(gateway_node& self, const state::gateway::pending_request& request, state::duration serviceTime);
 
 /// Records a response to a request that has a class.
@@ -48,7 +48,7 @@
 [[nodiscard]] const state::gateway::request_class* findClass(
     const gateway_node& self, const state::gateway::pending_request& request) noexcept;
 
-/// Trials of requests like this one: those of its class if it has one, otherwise those of its objective.
+/// Finds the trials that a request counts towards: those of its class if it has one, otherwise those of its objective.
 [[nodiscard]] state::gateway::service_time_trials& findTrials(
     gateway_node& self, const state::gateway::pending_request& request);
 
@@ -60,7 +60,7 @@
 /// Typical service time of a class, with an assumption before any response was seen.
 [[nodiscard]] state::duration typicalServiceTime(const state::gateway::request_class& known) noexcept;
 
-/// Likewise, without an assumption.
+/// Typical service time of requests like this one, if responses have shown it.
 /// \return empty until it has been learned from a response
 [[nodiscard]] std::optional<state::duration> learnedServiceTime(
     const gateway_node& self, const state::gateway::pending_request& request) noexcept;
--- a/src/coordination/gateway/request_flow.cpp
+++ b/src/coordination/gateway/request_flow.cpp
@@ -61,7 +61,8 @@
     auto* const server = findServer(self, attempt.server);
     if (server == nullptr)
         return;
-    // Attempts end with the deadline. An answer that is handled later arrived in time, while this host was paused.
+    // Attempts are cancelled at the deadline. A response handled after it arrived earlier, while this process was
+    // suspended, so the measured duration says nothing about the server.
     if (now > request.deadline)
         return;
     const auto took = now - attempt.startedAt;
@@ -104,7 +105,7 @@
 
 state::refusal_reason findReason(const pending_request& request)
 {
-    // Any other answer would have been returned or kept as the fallback.
+    // Other responses were returned to the caller or kept as the fallback, so this one was an unproven refusal.
     if (request.lastOutcome == attempt_outcome::answered)
         return state::refusal_reason::unproven_refusal;
     if (request.mayHaveRun)
--- a/src/coordination/gateway/request_log.hpp
+++ b/src/coordination/gateway/request_log.hpp
@@ -29,7 +29,7 @@
 /// The retry budget denies a retry or hedge.
 [[nodiscard]] log_event describeRetryDenied(const gateway_node& self, const state::gateway::pending_request& request);
 
-/// Describes a request that is sent although it appears to be late.
+/// A request is sent although its estimate exceeds its deadline; see `service_time_trials.hpp`.
 [[nodiscard]] log_event describeServiceTimeTrial(const gateway_node& self,
     const state::gateway::pending_request& request, const state::gateway::service_time_trials& trials,
     state::time_point now);
--- a/src/coordination/gateway/server_limit.cpp
+++ b/src/coordination/gateway/server_limit.cpp
@@ -23,8 +23,8 @@
 constexpr double goldenRatio = 0.618;
 constexpr state::duration confirmationTime = std::chrono::seconds { 3 }; ///< after which a limit counts as unconfirmed
 constexpr state::duration endNoticeTime = std::chrono::seconds { 30 }; ///< in which gossip reaches every host
-/// Requests per second that all hosts together send to a server at least, however low its limit. Only an answer to a
-/// request says that a limit has ended.
+/// Lowest rate, in requests per second of all hosts together, at which a limited server is used. Only the response to a
+/// request shows that a limit has ended, so a limit of zero would otherwise last for ever.
 constexpr double confirmationRate = 0.25;
 constexpr std::size_t limitsPerHeartbeat = 8; ///< keeps it within one datagram
 
--- a/src/coordination/gateway/service_time_trials.cpp
+++ b/src/coordination/gateway/service_time_trials.cpp
@@ -12,27 +12,28 @@
 using state::gateway::pending_request;
 using state::gateway::service_time_trials;
 
-constexpr std::uint32_t maxTrials = 64; ///< in flight; a service that serves this many is corrected within moments
-/// Bounds of the pause after a failure. The longest one is the time after which a service that is fast again serves its
-/// first caller.
+constexpr std::uint32_t maxTrials
+    = 64; ///< most in flight; enough responses to correct an estimate within one service time
+/// Bounds of the pause after a failure. A service that recovers receives its first trial after the longest pause at the
+/// latest.
 constexpr state::duration minTrialPause = std::chrono::milliseconds { 100 };
 constexpr state::duration maxTrialPause = std::chrono::seconds { 3 };
-/// After this time without a trial, the next ones start slowly again: the servers may have become slow.
+/// After this time without a trial, the limit starts at one again, since the success of earlier trials is out of date.
 constexpr state::duration trialMemory = std::chrono::seconds { 10 };
 
-/// Whether only what this host has learned makes the request appear to be late: the service time, or a server's
-/// slowdown and failures. A server's queue and reported slowdown are true at this moment.
-bool isLateByLearning(const gateway_node& self, const pending_request& request, const completion_estimate& estimate,
+/// Whether the estimate exceeds the deadline only because of earlier responses: because of the service time, or because
+/// of the slowdown and failures observed at the server. A server's reported queue and slowdown are current.
+bool isLateOnlyByHistory(const gateway_node& self, const pending_request& request, const completion_estimate& estimate,
     state::time_point now) noexcept
 {
     return estimate.startsImmediately
         && (now + typicalServiceTime(self, request) > request.deadline
-            || now + estimate.reportedTime <= request.deadline);
+            || now + estimate.timeWithoutHistory <= request.deadline);
 }
 
 void recordFailure(service_time_trials& trials, state::duration took, state::time_point now)
 {
-    // Trials that were in flight at an earlier failure say nothing new.
+    // Trials that started before the pause fail for the same reason as the one that caused it.
     if (trials.pausedUntil && now < *trials.pausedUntil)
         return;
     if (trials.limit > 1) {
@@ -51,12 +52,12 @@
 bool startServiceTimeTrial(gateway_node& self, pending_request& request, const completion_estimate& estimate,
     state::time_point now, effect_list& effects)
 {
-    if (!isLateByLearning(self, request, estimate, now))
+    if (!isLateOnlyByHistory(self, request, estimate, now))
         return false;
     if (request.isServiceTimeTrial) // a retry
         return true;
     auto& trials = findTrials(self, request);
-    // After a change of the configuration, a trial may have ended as a request of another class.
+    // If the configuration changed during a trial, its end was recorded under another class or objective.
     std::erase_if(
         trials.inFlight, [&](state::request_id id) { return !self.requests.contains(static_cast<std::uint64_t>(id)); });
     if (trials.inFlight.empty() && now - trials.endedAt > trialMemory)
@@ -76,7 +77,7 @@
         return;
     ++self.counters.serviceTimeTrials[outcome];
     auto& trials = findTrials(self, request);
-    if (std::erase(trials.inFlight, request.id) == 0) // it started before a change of the configuration
+    if (std::erase(trials.inFlight, request.id) == 0) // the configuration has changed during the trial
         return;
     trials.endedAt = now;
     switch (outcome) {
--- a/src/coordination/gateway/service_time_trials.hpp
+++ b/src/coordination/gateway/service_time_trials.hpp
@@ -5,20 +5,22 @@
 
 namespace acaciaslip::coordination::gateway {
 
-/// Pattern: a half-open circuit breaker with a slow start. A service was slow, and its servers are fast again. If every
-/// request with a short deadline is refused because of the learned service time, no response corrects it.
+/// Pattern: a half-open circuit breaker with slow start.
 ///
-/// Of the requests that are refused only because of what this host has learned, a few are therefore sent: at first one
-/// at a time, twice as many after each success, half as many after each failure. While servers are slow, one request at
-/// a time fails, with pauses in between, and all others are refused at once.
+/// A request is refused if its estimated completion exceeds its deadline. The estimate relies on earlier responses.
+/// When a slow service recovers, refused requests produce no responses, so the estimate would stay too high for ever.
+///
+/// A few of these requests are therefore sent as trials. One trial may be in flight at first. The limit doubles with
+/// each success and halves with each failure; a failure at the lowest limit starts a pause that grows up to a few
+/// seconds. All other requests are refused immediately.
 
-/// Decides whether a request that appears to be late is sent as a trial, and records it.
-/// \param estimate of the best server
-/// \return false: the servers are busy or say that they are slow themselves, or enough trials are in flight
+/// Decides whether to send a request as a trial although its estimate exceeds its deadline, and records the trial.
+/// \param estimate completion at the server that was chosen
+/// \return false if the server is full or reports that it is slow, if trials are paused, or at the limit of trials
 [[nodiscard]] bool startServiceTimeTrial(gateway_node& self, state::gateway::pending_request& request,
     const completion_estimate& estimate, state::time_point now, effect_list& effects);
 
-/// Records the end of a request that may be a trial.
+/// Records how a request ended. Does nothing if it was not a trial.
 void endServiceTimeTrial(
     gateway_node& self, const state::gateway::pending_request& request, trial_outcome outcome, state::time_point now);
 
--- a/src/coordination/gateway/unproven_refusal.hpp
+++ b/src/coordination/gateway/unproven_refusal.hpp
@@ -4,8 +4,8 @@
 
 namespace acaciaslip::coordination::gateway {
 
-/// Whether a response of this status promises a caller that its request has not run and never will.
-[[nodiscard]] constexpr bool promisesNotRun(int status) noexcept
+/// Whether callers take a response of this status as a guarantee that no server has executed the request or will.
+[[nodiscard]] constexpr bool guaranteesNotRun(int status) noexcept
 {
     constexpr int requestTimeout = 408;
     constexpr int misdirected = 421;
@@ -14,13 +14,13 @@
     return status == requestTimeout || status == misdirected || status == tooManyRequests || status == unavailable;
 }
 
-/// Whether a server answered with such a status without stating that it has not executed the request.
+/// Whether a server's response has such a status but no header which states that the request was not executed.
 ///
-/// An overloaded or failing server may send any of these statuses after it has run the request. Passed on, the answer
-/// would make the caller repeat a request that must run only once.
+/// An overloaded or failing server may send any of these statuses after executing the request. If the response were
+/// forwarded, the caller would send a request again that must be executed only once.
 [[nodiscard]] constexpr bool isUnprovenRefusal(const attempt_finished& finished) noexcept
 {
-    return finished.outcome == state::attempt_outcome::answered && promisesNotRun(finished.status);
+    return finished.outcome == state::attempt_outcome::answered && guaranteesNotRun(finished.status);
 }
 
 } // namespace acaciaslip::coordination::gateway
--- a/src/state/gateway/pending_request.hpp
+++ b/src/state/gateway/pending_request.hpp
@@ -60,7 +60,8 @@
     std::string callerRequestId; ///< request id that the caller chose, for logs
     request_digests digests;
     bool isTrial = false; ///< sent once although it is refused otherwise; see `crash_suspects.hpp`
-    bool isServiceTimeTrial = false; ///< sent although it appeared to be late; see `service_time_trials.hpp`
+    bool isServiceTimeTrial
+        = false; ///< sent although its estimate exceeded its deadline; see `service_time_trials.hpp`
     std::shared_ptr<const configuration> config; ///< configuration that the request was routed with
     const route* matched = nullptr; ///< points into `config`
     std::string service;
--- a/src/state/verdict.hpp
+++ b/src/state/verdict.hpp
@@ -58,7 +58,7 @@
     leaving, ///< this node is stopping (503)
     deadline_exceeded, ///< the deadline passed (504)
     broken_answer, ///< the server's answer was truncated, belonged to another request or was malformed (502)
-    unproven_refusal, ///< the server's status promises "not run", but the server may have run the request (502)
+    unproven_refusal, ///< the server refused without stating that it had not executed the request (502)
 };
 
 inline constexpr std::array<enum_name<refusal_reason>, 13> refusalReasonNames { {
--- a/tests/coordination/gateway/objective_service_time_test.cpp
+++ b/tests/coordination/gateway/objective_service_time_test.cpp
@@ -24,14 +24,14 @@
         publish();
     }
 
-    std::vector<stream_result> serveBoth()
+    std::vector<stream_result> serveBothRoutes()
     {
         return serveStreams({ { 100, 200ms, 12s, 1100ms }, { 100, 200ms, 1500ms, 48ms, "/b/x" } });
     }
 
     [[nodiscard]] const service_activity& activity() const { return m_node.services.at("a"); }
 
-    [[nodiscard]] double learnedMs(state::duration objective) const
+    [[nodiscard]] double learnedServiceTimeMs(state::duration objective) const
     {
         return state::toMilliseconds(*activity().serviceTimes.at(objective).typical);
     }
@@ -44,7 +44,7 @@
     publishServers(6);
     ASSERT_EQ(serve({ 30, 200ms, 12s, 1100ms }).served, 30U);
     addShortRoute();
-    const auto results = serveBoth();
+    const auto results = serveBothRoutes();
     EXPECT_EQ(results[0].served, 100U);
     EXPECT_EQ(results[1].served, 100U);
 }
@@ -53,19 +53,19 @@
 {
     publishServers(6);
     addShortRoute();
-    serveBoth();
-    EXPECT_NEAR(learnedMs(2500ms), 1100, 30);
-    EXPECT_NEAR(learnedMs(200ms), 48, 5);
+    serveBothRoutes();
+    EXPECT_NEAR(learnedServiceTimeMs(2500ms), 1100, 30);
+    EXPECT_NEAR(learnedServiceTimeMs(200ms), 48, 5);
 }
 
-/// Guards against a service time that a route loses when another route is added.
+/// Adding a route must not reset the service time of an existing one.
 TEST_F(objective_service_time_test, Route_OtherAdded_KeepsItsServiceTime)
 {
     publishServers(6);
     serve({ 30, 200ms, 12s, 1100ms });
-    const auto before = learnedMs(2500ms);
+    const auto before = learnedServiceTimeMs(2500ms);
     addShortRoute();
-    EXPECT_EQ(learnedMs(2500ms), before);
+    EXPECT_EQ(learnedServiceTimeMs(2500ms), before);
 }
 
 /// Guards against unbounded memory.
@@ -73,16 +73,16 @@
 {
     publishServers(6);
     addShortRoute();
-    serveBoth();
+    serveBothRoutes();
     ASSERT_EQ(activity().serviceTimes.size(), 2U);
     m_furtherRoutes.clear();
     publishConfiguration();
     publish();
     EXPECT_EQ(activity().serviceTimes.size(), 1U);
-    EXPECT_FALSE(activity().hasObjectives);
+    EXPECT_FALSE(activity().hasSeveralObjectives);
 }
 
-/// A route that changes its objective keeps what is known of its service.
+/// The service time of the service is the best estimate for an objective without responses.
 TEST_F(objective_service_time_test, Route_ObjectiveChanged_ServiceTimeIsKept)
 {
     publishServers(6);
@@ -91,7 +91,7 @@
     publishConfiguration();
     publish();
     EXPECT_EQ(serve({ 1, 200ms, 2s, 1100ms }).served, 1U);
-    EXPECT_GT(learnedMs(300ms), 1000);
+    EXPECT_GT(learnedServiceTimeMs(300ms), 1000);
 }
 
 } // namespace
--- a/tests/coordination/gateway/paused_host_test.cpp
+++ b/tests/coordination/gateway/paused_host_test.cpp
@@ -6,7 +6,7 @@
 
 using state::attempt_outcome;
 
-/// A host whose process is paused while a server runs a request.
+/// A host whose process is suspended while a server executes a request.
 class paused_host_test : public gateway_fixture {
 protected:
     paused_host_test()
@@ -27,8 +27,8 @@
     [[nodiscard]] state::duration learned() const { return *m_node.services.at("a").typicalServiceTime; }
 };
 
-/// Guards against a host that refuses a service after a pause, because it takes the pause for service time (soak seed
-/// 48020: an answer handled 13 s after its send).
+/// Guards against a host that refuses all requests of a service after it was suspended, because it counts the
+/// suspension as service time (soak seed 48020: a response handled 13 s after the send).
 TEST_F(paused_host_test, Answer_HandledAfterDeadline_TeachesNoServiceTime)
 {
     const auto before = learned();
@@ -51,7 +51,7 @@
     EXPECT_EQ(takeEffects<send_request>().size(), 1U);
 }
 
-/// An answer within the deadline counts, however long it took.
+/// A slow response within the deadline is a valid measurement.
 TEST_F(paused_host_test, Answer_HandledWithinDeadline_TeachesServiceTime)
 {
     const auto before = learned();
--- a/tests/coordination/gateway/service_load_fixture.hpp
+++ b/tests/coordination/gateway/service_load_fixture.hpp
@@ -8,14 +8,14 @@
 
 namespace acaciaslip::coordination::gateway {
 
-constexpr state::duration atOnce = 100ms;
+constexpr state::duration promptRefusalTime = 100ms;
 
 /// Requests that arrive at even intervals.
 struct request_stream {
     std::size_t count = 0;
     state::duration interval {};
     state::duration callerTimeout {};
-    state::duration took {}; ///< by the servers, for each request
+    state::duration serviceTime {}; ///< of each request
     std::string path = "/a/x";
 };
 
@@ -23,10 +23,10 @@
     std::size_t sent = 0; ///< attempts
     std::size_t served = 0;
     std::size_t refused = 0;
-    std::size_t refusedLate = 0; ///< those that waited for more than `atOnce`
+    std::size_t refusedAfterWaiting = 0; ///< refused later than `promptRefusalTime` after the arrival
 };
 
-/// Servers that are always idle and answer each request after the time that its stream says.
+/// Idle servers that answer each request after the service time of its stream.
 class service_load_fixture : public gateway_fixture {
 protected:
     service_load_fixture()
@@ -34,8 +34,8 @@
         m_node.membership.startedAt -= 1min; // until `retryWindow` after its start a node repeats hardly anything
     }
 
-    /// Runs streams of requests beside each other until all requests have ended.
-    /// \return one result for each stream
+    /// Runs several streams concurrently until all requests have ended.
+    /// \return the results, in the order of the streams
     std::vector<stream_result> serveStreams(const std::vector<request_stream>& streams)
     {
         constexpr state::duration step = 5ms;
@@ -54,13 +54,13 @@
                 const auto& stream = streams[index];
                 while (started[index] < stream.count && m_now >= begin + stream.interval * started[index]) {
                     ++started[index];
-                    m_open[startRequest(stream.path, stream.callerTimeout)] = { index, m_now, stream.took };
+                    m_open[startRequest(stream.path, stream.callerTimeout)] = { index, m_now, stream.serviceTime };
                 }
             }
             answerProbes();
             startAttempts();
             finishDue();
-            countEnds();
+            recordOutcomes();
             m_effects.clear();
             advanceTime(step);
         }
@@ -75,7 +75,7 @@
     struct open_request {
         std::size_t stream = 0;
         state::time_point arrivedAt;
-        state::duration took {};
+        state::duration serviceTime {};
     };
 
     void startAttempts()
@@ -83,7 +83,7 @@
         for (const auto& sent : takeEffects<send_request>()) {
             const auto& request = m_open.at(sent.request);
             ++m_results[request.stream].sent;
-            m_running.emplace(m_now + request.took, sent.id);
+            m_running.emplace(m_now + request.serviceTime, sent.id);
         }
     }
 
@@ -96,7 +96,7 @@
         }
     }
 
-    void countEnds()
+    void recordOutcomes()
     {
         for (const auto& answer : takeEffects<answer_caller>()) {
             ++m_results[m_open.at(answer.id).stream].served;
@@ -106,7 +106,7 @@
             const auto& request = m_open.at(refusal.id);
             auto& result = m_results[request.stream];
             ++result.refused;
-            result.refusedLate += m_now - request.arrivedAt > atOnce ? 1 : 0;
+            result.refusedAfterWaiting += m_now - request.arrivedAt > promptRefusalTime ? 1 : 0;
             m_open.erase(refusal.id);
         }
     }
--- a/tests/coordination/gateway/service_time_trial_test.cpp
+++ b/tests/coordination/gateway/service_time_trial_test.cpp
@@ -27,8 +27,8 @@
     stream_result serveShort(state::duration took = shortWork) { return serve({ 160, 100ms, shortDeadline, took }); }
 };
 
-/// Guards against a learned service time that refuses all requests and is therefore never corrected (0 of 160 served in
-/// 16 s).
+/// Guards against a service that recovers and is still refused, because refused requests do not update its service time
+/// (0 of 160 served in 16 s).
 TEST_F(service_time_trial_test, Servers_FastAgain_RequestsAreServed)
 {
     learnLongServiceTime();
@@ -60,7 +60,7 @@
     EXPECT_GE(serve({ 400, 10ms, shortDeadline, 200ms }).served, 300U);
 }
 
-/// Guards against callers that wait until their deadline although it is known that they are not served.
+/// Guards against callers that wait until their deadline for a service that stays slow.
 TEST_F(service_time_trial_test, Servers_StaySlow_FewRequestsAreSentAndOthersRefusedAtOnce)
 {
     learnLongServiceTime();
@@ -69,10 +69,10 @@
     EXPECT_GE(result.sent, 1U);
     EXPECT_LE(result.sent, 8U);
     EXPECT_EQ(result.refused, 160U);
-    EXPECT_LE(result.refusedLate, result.sent);
+    EXPECT_LE(result.refusedAfterWaiting, result.sent);
 }
 
-/// The pause after failed trials stays short enough.
+/// Guards against pauses between trials that grow without bound.
 TEST_F(service_time_trial_test, Servers_FastAfterManyFailedTrials_RequestsAreServedWithinFiveSeconds)
 {
     learnLongServiceTime();
@@ -98,7 +98,7 @@
     EXPECT_EQ(result.refused, 50U);
 }
 
-/// A full server does not become faster because a learned time was wrong.
+/// Trials must not add load to servers that are full.
 TEST_F(service_time_trial_test, Servers_Full_NothingIsSent)
 {
     learnLongServiceTime();
@@ -127,7 +127,7 @@
     EXPECT_EQ(takeEffect<refuse_caller>().reason, state::refusal_reason::overloaded);
 }
 
-/// Guards against a trial that is never counted as ended.
+/// Guards against an abandoned trial that counts as in flight for ever and blocks all later ones.
 TEST_F(service_time_trial_test, Caller_LeavesDuringTrial_NextTrialFollows)
 {
     learnLongServiceTime();
@@ -141,7 +141,7 @@
     EXPECT_EQ(serve({ 20, 100ms, shortDeadline, shortWork }).refused, 0U);
 }
 
-/// Guards against a trial that is looked for in another class when it ends, and so counts as in flight for ever.
+/// Guards against a trial that counts as in flight for ever because its class changes before it ends.
 TEST_F(service_time_trial_test, Service_GainsAndLosesPrioritiesDuringTrial_NextTrialFollows)
 {
     learnLongServiceTime();
--- a/tests/coordination/gateway/unproven_refusal_test.cpp
+++ b/tests/coordination/gateway/unproven_refusal_test.cpp
@@ -8,7 +8,7 @@
 
 constexpr int serverError = 500;
 
-/// Servers that answer with a status that promises "not run", without stating that they have not run the request.
+/// Servers that refuse a request without stating that they have not executed it.
 class unproven_refusal_test : public gateway_fixture, public testing::WithParamInterface<int> {
 protected:
     unproven_refusal_test()
@@ -22,7 +22,7 @@
         publishServers(3);
     }
 
-    void answerUnproven(const send_request& sent) { finishAttempt(sent.id, attempt_outcome::answered, GetParam()); }
+    void answerWithoutProof(const send_request& sent) { finishAttempt(sent.id, attempt_outcome::answered, GetParam()); }
 
     send_request takeRetry()
     {
@@ -40,12 +40,13 @@
     }
 };
 
-/// Guards against a booking that runs twice, because its caller received a promise that no server had made.
+/// Guards against a request that is executed twice, because its caller takes the forwarded status as a guarantee that
+/// it was not executed.
 TEST_P(unproven_refusal_test, NonIdempotentRequest_Answered_RefusedAsMayHaveRunAndNotSentAgain)
 {
     publishBookings();
     const auto sent = startAndSend();
-    answerUnproven(sent);
+    answerWithoutProof(sent);
     expectRefusedAsMayHaveRun(sent.request);
     EXPECT_EQ(takeEffect<discard_answer>().attempt, sent.id);
     advanceTime(2s);
@@ -57,7 +58,7 @@
     publishBookings();
     const auto first = startAndSend();
     finishAttempt(first.id, attempt_outcome::shed, 503);
-    answerUnproven(takeRetry());
+    answerWithoutProof(takeRetry());
     expectRefusedAsMayHaveRun(first.request);
 }
 
@@ -65,7 +66,7 @@
 {
     publishServers(3);
     const auto first = startAndSend();
-    answerUnproven(first);
+    answerWithoutProof(first);
     const auto second = takeRetry();
     EXPECT_NE(second.server, first.server);
     finishAttempt(second.id, attempt_outcome::answered, 200);
@@ -77,7 +78,7 @@
     m_route.attempts = 1;
     publishServers(3);
     const auto sent = startAndSend();
-    answerUnproven(sent);
+    answerWithoutProof(sent);
     expectRefusedAsMayHaveRun(sent.request);
 }
 
@@ -86,17 +87,17 @@
     publishServers(3);
     const auto first = startAndSend();
     finishAttempt(first.id, attempt_outcome::answered, serverError);
-    answerUnproven(takeRetry());
+    answerWithoutProof(takeRetry());
     EXPECT_EQ(takeEffect<answer_caller>().attempt, first.id);
 }
 
-/// The end of a limit is told by an answer to a request that was run.
+/// Only a response to an executed request shows that a limit has ended.
 TEST_P(unproven_refusal_test, LimitedServer_Answers_LimitStays)
 {
     publishBookings();
     const auto sent = startAndSend();
     m_node.servers.at(sent.server).limitPerSecond = 1;
-    answerUnproven(sent);
+    answerWithoutProof(sent);
     EXPECT_TRUE(m_node.servers.at(sent.server).limitPerSecond.has_value());
 }
 
@@ -105,7 +106,7 @@
     publishBookings();
     const auto sent = startAndSend();
     advanceTime(1ms);
-    answerUnproven(sent);
+    answerWithoutProof(sent);
     EXPECT_GT(currentFailureRate(m_node.servers.at(sent.server), m_now), 0);
     EXPECT_FALSE(m_node.services.at("a").typicalServiceTime.has_value());
 }
--- a/tests/soak/guarantees_test.cpp
+++ b/tests/soak/guarantees_test.cpp
@@ -55,7 +55,7 @@
     EXPECT_THAT(m_checker.violations(), ElementsAre(HasSubstr("after it had been executed")));
 }
 
-/// Guards against a soak that overlooks promises other than 503.
+/// Guards against a check that considers 503 only.
 TEST_F(guarantee_checker_test, NonIdempotentRequest_AnyPromiseAfterRun_ReportsViolation)
 {
     m_checker.recordRun("booking", "bookings");
--- a/tests/transport/loop/unproven_refusal_daemon_test.cpp
+++ b/tests/transport/loop/unproven_refusal_daemon_test.cpp
@@ -38,8 +38,8 @@
 class unproven_refusal_status_test : public unproven_refusal_daemon_fixture,
                                      public testing::WithParamInterface<std::tuple<request_kind, int>> { };
 
-/// Guards against a request that runs twice: a server runs it and answers 503 for another reason, and the caller takes
-/// the status for the promise that the request has not run.
+/// Guards against a request that is executed twice: a server executes it and then answers 503, and the caller takes the
+/// forwarded status as a guarantee that it was not executed.
 TEST_P(unproven_refusal_status_test, Answer_WithoutNotRunHeader_CallerReceivesBadGateway)
 {
     const auto [kind, status] = GetParam();
@@ -53,31 +53,31 @@
     testing::Combine(
         testing::Values(request_kind::idempotent, request_kind::non_idempotent), testing::Values(408, 429, 503)));
 
-class proven_answer_test : public unproven_refusal_daemon_fixture { };
+class proven_refusal_test : public unproven_refusal_daemon_fixture { };
 
-TEST_F(proven_answer_test, Answer_WithNotRunHeader_CallerReceives503)
+TEST_F(proven_refusal_test, Answer_WithNotRunHeader_CallerReceives503)
 {
     const auto received = exchange(request_kind::non_idempotent, 503, "Acaciaslip-Not-Run: 1\r\n");
     EXPECT_TRUE(received.starts_with(statusLineOf(503))) << received;
 }
 
-/// A misdirected request has not run, whatever else the answer says.
-TEST_F(proven_answer_test, Answer_Misdirected_CallerReceives503)
+/// Servers answer 421 before they execute a request, so no header is needed.
+TEST_F(proven_refusal_test, Answer_Misdirected_CallerReceives503)
 {
     const auto received = exchange(request_kind::non_idempotent, 421, "");
     EXPECT_TRUE(received.starts_with(statusLineOf(503))) << received;
 }
 
-class other_status_test : public unproven_refusal_daemon_fixture, public testing::WithParamInterface<int> { };
+class forwarded_status_test : public unproven_refusal_daemon_fixture, public testing::WithParamInterface<int> { };
 
-TEST_P(other_status_test, Answer_PromisesNothing_CallerReceivesItUnchanged)
+TEST_P(forwarded_status_test, Answer_PromisesNothing_CallerReceivesItUnchanged)
 {
     const auto received = exchange(request_kind::non_idempotent, GetParam(), "X-Kept: 1\r\n");
     EXPECT_TRUE(received.starts_with(statusLineOf(GetParam()))) << received;
     EXPECT_NE(received.find("X-Kept: 1"), std::string::npos);
 }
 
-INSTANTIATE_TEST_SUITE_P(Statuses, other_status_test, testing::Values(409, 500, 502, 504));
+INSTANTIATE_TEST_SUITE_P(Statuses, forwarded_status_test, testing::Values(409, 500, 502, 504));
 
 } // namespace
 } // namespace acaciaslip::transport::loop
